--- /dev/null
+++ b/core/src/main/java/org/bergamotcross/core/config/Target.java
@@ -0,0 +1,13 @@
+package org.bergamotcross.core.config;
+
+import org.bergamotcross.core.membership.FailureDomain;
+
+/**
+ * A back end of a pool.
+ *
+ * @param id the name
+ * @param host the IPv4 address
+ * @param port the TCP port
+ * @param failureDomain where it runs
+ */
+public record Target(TargetId id, String host, int port, FailureDomain failureDomain) {}
--- /dev/null
+++ b/core/src/main/java/org/bergamotcross/core/config/TeamSettings.java
@@ -0,0 +1,28 @@
+package org.bergamotcross.core.config;
+
+import java.util.List;
+
+/**
+ * The subtree of one team, as one edit publishes it.
+ *
+ * @param team the name of the team
+ * @param organisations the organisations
+ * @param keys the keys
+ * @param pools the pools
+ * @param routes the routes
+ */
+public record TeamSettings(
+    String team,
+    List<Organisation> organisations,
+    List<Key> keys,
+    List<Pool> pools,
+    List<Route> routes) {
+
+  /** Copies the lists. */
+  public TeamSettings {
+    organisations = List.copyOf(organisations);
+    keys = List.copyOf(keys);
+    pools = List.copyOf(pools);
+    routes = List.copyOf(routes);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/bergamotcross/core/config/package-info.java
@@ -0,0 +1,2 @@
+/** The configuration that operators publish: its parts, and the fold of the log into one state. */
+package org.bergamotcross.core.config;
--- /dev/null
+++ b/core/src/main/java/org/bergamotcross/core/membership/InstanceId.java
@@ -0,0 +1,18 @@
+package org.bergamotcross.core.membership;
+
+/**
+ * The name of an instance, from its settings.
+ *
+ * @param value the name
+ */
+public record InstanceId(String value) implements Comparable<InstanceId> {
+  @Override
+  public int compareTo(InstanceId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/bergamotcross/core/membership/Members.java
@@ -0,0 +1,79 @@
+package org.bergamotcross.core.membership;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.apache.commons.codec.digest.MurmurHash3;
+
+/**
+ * The members of the fleet at one epoch.
+ *
+ * @param epoch the offset of the last accepted membership record, -1 when there is none
+ * @param list the members, ordered by id
+ */
+public record Members(long epoch, List<Member> list) {
+  /** The number of holders of an organisation, each one in another failure domain. */
+  public static final int HOLDERS = 3;
+
+  /** No members. */
+  public static final Members NONE = new Members(-1, List.of());
+
+  /** Copies and orders the list. */
+  public Members {
+    list = list.stream().sorted(Comparator.comparing(Member::id)).toList();
+  }
+
+  /**
+   * Finds a member.
+   *
+   * @param id the instance
+   * @return the member, or nothing when the instance is none
+   */
+  public Optional<Member> find(InstanceId id) {
+    return list.stream().filter(member -> member.id().equals(id)).findFirst();
+  }
+
+  /**
+   * Returns the smallest number of members that is more than half of all.
+   *
+   * @return the majority
+   */
+  public int majority() {
+    return list.size() / 2 + 1;
+  }
+
+  /**
+   * Chooses the members that hold the state of a key by rendezvous hashing.
+   *
+   * <p>A change of one member changes the holders of only those keys that it held or now holds.
+   *
+   * @param key for example the id of an organisation
+   * @return up to {@link #HOLDERS} members in different failure domains, best first
+   */
+  public List<Member> holders(String key) {
+    List<Member> ranked =
+        list.stream()
+            .sorted(
+                Comparator.comparingLong((Member member) -> weight(key, member))
+                    .reversed()
+                    .thenComparing(Member::id))
+            .toList();
+    Set<FailureDomain> used = new HashSet<>();
+    List<Member> holders = new ArrayList<>(HOLDERS);
+    for (Member member : ranked) {
+      if (holders.size() < HOLDERS && used.add(member.failureDomain())) {
+        holders.add(member);
+      }
+    }
+    return List.copyOf(holders);
+  }
+
+  private static long weight(String key, Member member) {
+    byte[] bytes = (key + '\n' + member.id().value()).getBytes(StandardCharsets.UTF_8);
+    return MurmurHash3.hash128x64(bytes)[0];
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/bergamotcross/core/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Where a request runs: health of targets, choice, waiting and retries. */
+package org.bergamotcross.core.routing;
--- /dev/null
+++ b/entry/src/main/java/org/bergamotcross/entry/Broadcasts.java
@@ -0,0 +1,58 @@
+package org.bergamotcross.entry;
+
+import org.bergamotcross.core.config.Configuration;
+import org.bergamotcross.core.membership.Member;
+import org.bergamotcross.kernel.Broadcast;
+import org.bergamotcross.kernel.Now;
+
+/** The broadcasts that the plug-ins of an entry instance share. */
+public final class Broadcasts {
+  /** The configuration in force; published by the config duty after each accepted record. */
+  public static final Broadcast<Configuration> CONFIGURATION = new Broadcast<>("configuration");
+
+  /** How long the instance may act on what it knows; published by the config duty. */
+  public static final Broadcast<Freshness> FRESHNESS = new Broadcast<>("freshness");
+
+  /** A peer answered; published by the exchange duty. */
+  public static final Broadcast<PeerEcho> PEER_ECHO = new Broadcast<>("peer-echo");
+
+  /** The process was told to stop; published once. */
+  public static final Broadcast<Stopping> STOPPING = new Broadcast<>("stopping");
+
+  private Broadcasts() {}
+
+  /**
+   * How long keys, shares and claims may be used.
+   *
+   * @param validUntil the monotonic end; a reading that is not before it must not use them
+   * @param source what confirmed it
+   */
+  public record Freshness(Now validUntil, Source source) {
+
+    /** What confirmed the freshness. */
+    public enum Source {
+      /** Nothing did yet. */
+      NONE,
+      /** The head of the log. */
+      LOG,
+      /** A majority of the members. */
+      PEERS
+    }
+  }
+
+  /**
+   * An answer of a peer to a beat of this instance.
+   *
+   * @param peer the peer
+   * @param beatSentAt when this instance sent the beat that the peer echoes
+   * @param offset the offset that the peer has folded
+   */
+  public record PeerEcho(Member peer, Now beatSentAt, long offset) {}
+
+  /**
+   * The start of a planned stop.
+   *
+   * @param limit when the process ends even if requests are still open
+   */
+  public record Stopping(Now limit) {}
+}
--- /dev/null
+++ b/kernel/src/main/java/org/bergamotcross/kernel/Closer.java
@@ -0,0 +1,72 @@
+package org.bergamotcross.kernel;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+
+/**
+ * Gathers resources and closes them in reverse order of their registration.
+ *
+ * <pre>{@code
+ * try (Closer closer = new Closer()) {
+ *   Connection connection = closer.register("connection", open());
+ * }
+ * }</pre>
+ */
+public final class Closer implements AutoCloseable {
+
+  /**
+   * A resource that could not be closed.
+   *
+   * @param resource the name under which the resource was registered
+   * @param cause what its close method threw
+   */
+  public record Failure(String resource, Exception cause) {}
+
+  private record Entry(String name, AutoCloseable resource) {}
+
+  private final Deque<Entry> entries = new ArrayDeque<>();
+
+  /**
+   * Registers a resource.
+   *
+   * @param name the name used when closing it fails
+   * @param resource the resource
+   * @param <T> the type of the resource
+   * @return the resource itself
+   */
+  public synchronized <T extends AutoCloseable> T register(String name, T resource) {
+    entries.push(new Entry(name, resource));
+    return resource;
+  }
+
+  /**
+   * Closes all resources, each one even when another one fails.
+   *
+   * @return what failed, in the order of closing
+   */
+  public List<Failure> closeAll() {
+    List<Failure> failures = new ArrayList<>();
+    for (Entry entry = next(); entry != null; entry = next()) {
+      try {
+        entry.resource().close();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        failures.add(new Failure(entry.name(), e));
+      } catch (Exception e) {
+        failures.add(new Failure(entry.name(), e));
+      }
+    }
+    return failures;
+  }
+
+  private synchronized Entry next() {
+    return entries.poll();
+  }
+
+  @Override
+  public void close() {
+    closeAll();
+  }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/bergamotcross/kernel/Duty.java
@@ -0,0 +1,100 @@
+package org.bergamotcross.kernel;
+
+import com.codahale.metrics.Meter;
+import com.codahale.metrics.MetricRegistry;
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * Runs one duty on its own named thread, which alone owns the state of the handler.
+ *
+ * <p>The thread parks in {@link Ring#poll} until a message arrives or the next tick is due.
+ *
+ * @param <T> the type of the messages
+ */
+final class Duty<T> implements AutoCloseable {
+  private static final Duration STOP_LIMIT = Duration.ofSeconds(5);
+
+  private final String name;
+  private final Ring<T> ring;
+  private final DutyHandler<T> handler;
+  private final TimeSource time;
+  private final EventLog events;
+  private final Meter failures;
+  private final Thread thread;
+  private volatile boolean stopping;
+
+  Duty(
+      String name,
+      Ring<T> ring,
+      DutyHandler<T> handler,
+      TimeSource time,
+      EventLog events,
+      MetricRegistry metrics) {
+    this.name = name;
+    this.ring = ring;
+    this.handler = handler;
+    this.time = time;
+    this.events = events;
+    this.failures = metrics.meter(MetricRegistry.name("duty", name, "failures"));
+    this.thread = new Thread(this::run, "duty-" + name);
+    this.thread.setDaemon(true);
+  }
+
+  void start() {
+    thread.start();
+  }
+
+  private void run() {
+    Now nextTick = time.now();
+    while (!stopping) {
+      try {
+        Duration wait = nextTick.since(time.now());
+        Optional<T> message = ring.poll(wait.isNegative() ? Duration.ZERO : wait);
+        Now now = time.now();
+        message.ifPresent(m -> handle(m, now));
+        if (!now.isBefore(nextTick)) {
+          nextTick = now.plus(tick(now));
+        }
+      } catch (InterruptedException e) {
+        if (stopping) {
+          return;
+        }
+      }
+    }
+  }
+
+  private void handle(T message, Now now) {
+    try {
+      handler.onMessage(message, now);
+    } catch (RuntimeException e) {
+      report(e, message.getClass().getSimpleName());
+    }
+  }
+
+  private Duration tick(Now now) {
+    try {
+      return handler.onTick(now);
+    } catch (RuntimeException e) {
+      report(e, "tick");
+      return Duration.ofSeconds(1);
+    }
+  }
+
+  // One bad message must not end a duty on which all requests depend.
+  private void report(RuntimeException e, String message) {
+    failures.mark();
+    events.event("duty.failed").with("duty", name).with("message", message).with("error", e).emit();
+  }
+
+  @Override
+  public void close() {
+    stopping = true;
+    thread.interrupt();
+    try {
+      thread.join(STOP_LIMIT);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/bergamotcross/kernel/EventLog.java
@@ -0,0 +1,130 @@
+package org.bergamotcross.kernel;
+
+import com.codahale.metrics.Meter;
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+
+/**
+ * Writes each event as one line of key=value pairs.
+ *
+ * <p>Lines go through a bounded ring to one writer thread, so that a slow log never delays a
+ * decision. When the ring is full the line is dropped and counted in {@code events.dropped}.
+ *
+ * <pre>{@code
+ * events.event("route.chosen").with("request", id).with("target", target).emit();
+ * }</pre>
+ */
+public final class EventLog implements AutoCloseable {
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+  private static final int RING_CAPACITY = 16_384;
+  private static final Duration POLL = Duration.ofMillis(200);
+
+  private final Ring<String> ring = new Ring<>("event-log", RING_CAPACITY);
+  private final Meter dropped;
+  private final Thread writer = new Thread(this::write, "event-log");
+  private volatile boolean stopping;
+
+  /**
+   * Starts the writer thread.
+   *
+   * @param metrics counts the dropped lines
+   */
+  public EventLog(MetricRegistry metrics) {
+    this.dropped = metrics.meter("events.dropped");
+    writer.setDaemon(true);
+    writer.start();
+  }
+
+  /**
+   * Starts an event.
+   *
+   * @param name the name of the event, for example {@code route.chosen}
+   * @return a builder; the line is written by {@link Event#emit()}
+   */
+  public Event event(String name) {
+    return new Event(name);
+  }
+
+  private void write() {
+    try {
+      while (!stopping || ring.size() > 0) {
+        ring.poll(POLL).ifPresent(line -> LOGGER.atInfo().log("%s", line));
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  @Override
+  public void close() {
+    stopping = true;
+    try {
+      writer.join(Duration.ofSeconds(2));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Builds one line. */
+  public final class Event {
+    private final StringBuilder line = new StringBuilder(160);
+
+    private Event(String name) {
+      line.append("time=").append(Instant.now()).append(" event=").append(name);
+    }
+
+    /**
+     * Adds a pair; values with spaces, quotes or equal signs are quoted.
+     *
+     * @param key the key, in lower case with hyphens
+     * @param value the value, written by {@link Object#toString()}
+     * @return this builder
+     */
+    public Event with(String key, Object value) {
+      line.append(' ').append(key).append('=').append(quoted(String.valueOf(value)));
+      return this;
+    }
+
+    /**
+     * Adds a pair when there is a value.
+     *
+     * @param key the key
+     * @param value the value; nothing is written when it is absent
+     * @return this builder
+     */
+    public Event with(String key, Optional<?> value) {
+      value.ifPresent(v -> with(key, (Object) v));
+      return this;
+    }
+
+    /** Hands the line to the writer thread. */
+    public void emit() {
+      if (!ring.offerReserved(line.toString()).isAccepted()) {
+        dropped.mark();
+      }
+    }
+  }
+
+  private static String quoted(String value) {
+    boolean plain =
+        !value.isEmpty()
+            && value.chars().allMatch(c -> c > ' ' && c != '"' && c != '=' && c != '\\');
+    if (plain) {
+      return value;
+    }
+    StringBuilder out = new StringBuilder("\"");
+    for (int i = 0; i < value.length(); i++) {
+      char c = value.charAt(i);
+      switch (c) {
+        case '"', '\\' -> out.append('\\').append(c);
+        case '\n' -> out.append("\\n");
+        case '\r' -> out.append("\\r");
+        default -> out.append(c);
+      }
+    }
+    return out.append('"').toString();
+  }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/bergamotcross/kernel/Kernel.java
@@ -0,0 +1,203 @@
+package org.bergamotcross.kernel;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.ServiceLoader;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+
+/**
+ * Starts the plug-ins of a process and holds what they share.
+ *
+ * <pre>{@code
+ * switch (Settings.read(file, Kernel.settingsOf(plugins), Kernel.rulesOf(plugins))) {
+ *   case SettingsResult.Loaded loaded -> new Kernel(plugins, loaded.settings(), time).start();
+ *   case SettingsResult.Rejected rejected -> rejected.problems().forEach(System.err::println);
+ * }
+ * }</pre>
+ */
+public final class Kernel implements AutoCloseable {
+  private final List<Plugin> plugins;
+  private final Context context;
+
+  /**
+   * Creates a kernel that has not started its plug-ins yet.
+   *
+   * @param plugins the plug-ins, in the order in which they start
+   * @param settings the checked settings
+   * @param time the clock of the process
+   */
+  public Kernel(Collection<Plugin> plugins, Settings settings, TimeSource time) {
+    this.plugins = List.copyOf(plugins);
+    this.context = new Context(settings, time);
+  }
+
+  /**
+   * Finds the plug-ins on the class path.
+   *
+   * @return the plug-ins in the order of the service files
+   */
+  public static List<Plugin> discoverPlugins() {
+    return ServiceLoader.load(Plugin.class).stream().map(ServiceLoader.Provider::get).toList();
+  }
+
+  /**
+   * Returns the settings that a set of plug-ins reads.
+   *
+   * @param plugins the plug-ins
+   * @return all their settings
+   */
+  public static List<Setting<?>> settingsOf(Collection<Plugin> plugins) {
+    List<Setting<?>> all = new ArrayList<>();
+    plugins.forEach(plugin -> all.addAll(plugin.settings()));
+    return all;
+  }
+
+  /**
+   * Returns the rules that a set of plug-ins checks.
+   *
+   * @param plugins the plug-ins
+   * @return all their rules
+   */
+  public static List<SettingRule> rulesOf(Collection<Plugin> plugins) {
+    List<SettingRule> all = new ArrayList<>();
+    plugins.forEach(plugin -> all.addAll(plugin.rules()));
+    return all;
+  }
+
+  /**
+   * Configures, then starts all plug-ins.
+   *
+   * @throws PluginStartException if a plug-in can't open a resource; what was opened is closed
+   */
+  public void start() throws PluginStartException {
+    plugins.forEach(plugin -> plugin.configure(context));
+    for (Plugin plugin : plugins) {
+      try {
+        plugin.start(context);
+      } catch (PluginStartException e) {
+        close();
+        throw e;
+      }
+      context.events.event("plugin.started").with("plugin", plugin.name()).emit();
+    }
+  }
+
+  /**
+   * Returns the context that the plug-ins use.
+   *
+   * @return the context, for daemons and tests
+   */
+  public PluginContext context() {
+    return context;
+  }
+
+  @Override
+  public void close() {
+    for (Closer.Failure failure : context.closer.closeAll()) {
+      System.err.println("close failed: " + failure.resource() + ": " + failure.cause());
+    }
+  }
+
+  private static final class Context implements PluginContext {
+    private final Settings settings;
+    private final TimeSource time;
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final Closer closer = new Closer();
+    private final EventLog events;
+    private final Map<String, Ring<?>> rings = new ConcurrentHashMap<>();
+    private final Map<String, List<Consumer<Object>>> receivers = new ConcurrentHashMap<>();
+    private final Map<Class<?>, Object> services = new ConcurrentHashMap<>();
+
+    Context(Settings settings, TimeSource time) {
+      this.settings = settings;
+      this.time = time;
+      this.events = closer.register("event-log", new EventLog(metrics));
+    }
+
+    @Override
+    public Settings settings() {
+      return settings;
+    }
+
+    @Override
+    public <T> Ring<T> open(Topic<T> topic, int capacity) {
+      Ring<T> ring = new Ring<>(topic.name(), capacity);
+      if (rings.putIfAbsent(topic.name(), ring) != null) {
+        throw new IllegalStateException("topic " + topic.name() + " is open already");
+      }
+      metrics.register(
+          MetricRegistry.name("ring", topic.name(), "size"), (Gauge<Integer>) ring::size);
+      return ring;
+    }
+
+    // Safe: a ring is stored under the name of its topic, and a topic fixes the type.
+    @SuppressWarnings("unchecked")
+    @Override
+    public <T> Optional<Ring<T>> ring(Topic<T> topic) {
+      return Optional.ofNullable((Ring<T>) rings.get(topic.name()));
+    }
+
+    // Safe: only publish with the same broadcast, which fixes the type, reaches the receiver.
+    @SuppressWarnings("unchecked")
+    @Override
+    public <T> void subscribe(Broadcast<T> broadcast, Consumer<T> receiver) {
+      receivers
+          .computeIfAbsent(broadcast.name(), name -> new CopyOnWriteArrayList<>())
+          .add((Consumer<Object>) receiver);
+    }
+
+    @Override
+    public <T> void publish(Broadcast<T> broadcast, T message) {
+      receivers.getOrDefault(broadcast.name(), List.of()).forEach(r -> r.accept(message));
+    }
+
+    @Override
+    public <T> void provide(Class<T> type, T service) {
+      if (services.putIfAbsent(type, service) != null) {
+        throw new IllegalStateException(type.getName() + " is provided already");
+      }
+    }
+
+    @Override
+    public <T> Optional<T> service(Class<T> type) {
+      return Optional.ofNullable(services.get(type)).map(type::cast);
+    }
+
+    @Override
+    public <T> void startDuty(Topic<T> topic, DutyHandler<T> handler) {
+      Ring<T> ring =
+          ring(topic)
+              .orElseThrow(() -> new IllegalStateException("topic " + topic.name() + " not open"));
+      Duty<T> duty = new Duty<>(topic.name(), ring, handler, time, events, metrics);
+      closer.register("duty " + topic.name(), duty);
+      duty.start();
+    }
+
+    @Override
+    public EventLog events() {
+      return events;
+    }
+
+    @Override
+    public MetricRegistry metrics() {
+      return metrics;
+    }
+
+    @Override
+    public TimeSource time() {
+      return time;
+    }
+
+    @Override
+    public Closer closer() {
+      return closer;
+    }
+  }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/bergamotcross/kernel/Setting.java
@@ -0,0 +1,136 @@
+package org.bergamotcross.kernel;
+
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Describes one value of the settings file.
+ *
+ * <pre>{@code
+ * static final Setting<Integer> QUEUE = Setting.integer("limits", "queue-capacity", 1, 100_000)
+ *     .orDefault("1024");
+ * }</pre>
+ *
+ * @param section the section
+ * @param key the key
+ * @param expected what a right value looks like, for messages and the settings reference
+ * @param defaultText the text used when the key is missing; without it the key is required
+ * @param reader turns the text into the value, or nothing when the text is wrong
+ * @param <T> the type of the value
+ */
+public record Setting<T>(
+    String section, String key, String expected, Optional<String> defaultText, Reader<T> reader) {
+  private static final Pattern ADDRESS = Pattern.compile("(\\d{1,3}(?:\\.\\d{1,3}){3}):(\\d{1,5})");
+  private static final Pattern NAME = Pattern.compile("[a-z0-9]([a-z0-9-]{0,62})");
+  private static final int MAX_PORT = 65_535;
+
+  /**
+   * Turns text into a value.
+   *
+   * @param <T> the type of the value
+   */
+  @FunctionalInterface
+  public interface Reader<T> {
+
+    /**
+     * Reads a value.
+     *
+     * @param text the text without surrounding blanks
+     * @return the value, or nothing when the text is wrong
+     */
+    Optional<T> read(String text);
+  }
+
+  /**
+   * Describes a required name.
+   *
+   * @param section the section
+   * @param key the key
+   * @return the setting
+   */
+  public static Setting<String> name(String section, String key) {
+    return new Setting<>(
+        section,
+        key,
+        "lower-case letters, digits and hyphens, at most 63",
+        Optional.empty(),
+        text -> Optional.of(text).filter(t -> NAME.matcher(t).matches()));
+  }
+
+  /**
+   * Describes a required IP address with a port.
+   *
+   * @param section the section
+   * @param key the key
+   * @return the setting
+   */
+  public static Setting<InetSocketAddress> address(String section, String key) {
+    return new Setting<>(
+        section,
+        key,
+        "an IPv4 address and port such as 127.0.0.1:8080",
+        Optional.empty(),
+        Setting::readAddress);
+  }
+
+  /**
+   * Describes a required whole number.
+   *
+   * @param section the section
+   * @param key the key
+   * @param min the smallest right value
+   * @param max the largest right value
+   * @return the setting
+   */
+  public static Setting<Integer> integer(String section, String key, int min, int max) {
+    return new Setting<>(
+        section,
+        key,
+        "a whole number from " + min + " to " + max,
+        Optional.empty(),
+        text -> readInteger(text).filter(value -> value >= min && value <= max));
+  }
+
+  /**
+   * Makes the setting optional.
+   *
+   * @param text the text to use when the key is missing
+   * @return the setting with the default
+   */
+  public Setting<T> orDefault(String text) {
+    return new Setting<>(section, key, expected, Optional.of(text), reader);
+  }
+
+  /**
+   * Reads an IPv4 address with a port, without a name look-up.
+   *
+   * @param text for example {@code 127.0.0.1:8080}
+   * @return the address, or nothing when the text is wrong
+   */
+  public static Optional<InetSocketAddress> readAddress(String text) {
+    Matcher matcher = ADDRESS.matcher(text);
+    if (!matcher.matches()) {
+      return Optional.empty();
+    }
+    for (String part : matcher.group(1).split("\\.", -1)) {
+      if (Integer.parseInt(part) > 255) {
+        return Optional.empty();
+      }
+    }
+    int port = Integer.parseInt(matcher.group(2));
+    if (port > MAX_PORT) {
+      return Optional.empty();
+    }
+    return Optional.of(new InetSocketAddress(matcher.group(1), port));
+  }
+
+  private static Optional<Integer> readInteger(String text) {
+    try {
+      return Optional.of(Integer.parseInt(text));
+    } catch (NumberFormatException e) {
+      return Optional.empty();
+    }
+  }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/bergamotcross/kernel/Settings.java
@@ -0,0 +1,162 @@
+package org.bergamotcross.kernel;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** The checked settings of a process. */
+public final class Settings {
+  private final String file;
+  private final Map<Setting<?>, Object> values;
+
+  private Settings(String file, Map<Setting<?>, Object> values) {
+    this.file = file;
+    this.values = Map.copyOf(values);
+  }
+
+  /**
+   * Returns a value.
+   *
+   * @param setting a setting that was given to {@link #read}
+   * @param <T> the type of the value
+   * @return the value
+   * @throws IllegalArgumentException if the setting was not among those that were read
+   */
+  // Safe: the value under a setting was made by the reader of that setting.
+  @SuppressWarnings("unchecked")
+  public <T> T value(Setting<T> setting) {
+    Object value = values.get(setting);
+    if (value == null) {
+      throw new IllegalArgumentException(
+          "setting [" + setting.section() + "] " + setting.key() + " is not declared");
+    }
+    return (T) value;
+  }
+
+  /**
+   * Returns the name of the file, for rules that report a problem.
+   *
+   * @return the name as given on the command line
+   */
+  public String file() {
+    return file;
+  }
+
+  /**
+   * Reads and checks a file; all problems are reported at once.
+   *
+   * @param file the INI file
+   * @param declared the settings that may or must stand in it
+   * @param rules the checks over several values, made when each single value is right
+   * @return the settings, or all problems
+   */
+  public static SettingsResult read(
+      Path file, Collection<Setting<?>> declared, Collection<SettingRule> rules) {
+    String text;
+    try {
+      text = Files.readString(file);
+    } catch (IOException e) {
+      return new SettingsResult.Rejected(
+          List.of(
+              new SettingProblem(
+                  file.toString(), "", "", "no readable file (" + e + ")", "an INI file")));
+    }
+    return parse(file.toString(), text, declared, rules);
+  }
+
+  /**
+   * Checks INI text; all problems are reported at once.
+   *
+   * @param file the name used in problems
+   * @param text the INI text
+   * @param declared the settings that may or must stand in it
+   * @param rules the checks over several values, made when each single value is right
+   * @return the settings, or all problems
+   */
+  public static SettingsResult parse(
+      String file, String text, Collection<Setting<?>> declared, Collection<SettingRule> rules) {
+    return switch (IniDocument.parse(file, text)) {
+      case IniResult.Malformed malformed ->
+          new SettingsResult.Rejected(List.of(malformed.problem()));
+      case IniResult.Parsed parsed -> check(file, parsed.document(), declared, rules);
+    };
+  }
+
+  private static SettingsResult check(
+      String file,
+      IniDocument document,
+      Collection<Setting<?>> declared,
+      Collection<SettingRule> rules) {
+    List<SettingProblem> problems = new ArrayList<>(unknown(file, document, declared));
+    Map<Setting<?>, Object> values = new HashMap<>();
+    for (Setting<?> setting : declared) {
+      Optional<String> text =
+          document.value(setting.section(), setting.key()).or(setting::defaultText);
+      Optional<?> value = text.flatMap(t -> setting.reader().read(t));
+      value.ifPresentOrElse(
+          v -> values.put(setting, v),
+          () ->
+              problems.add(
+                  new SettingProblem(
+                      file,
+                      setting.section(),
+                      setting.key(),
+                      text.map(t -> "\"" + t + "\"").orElse("nothing"),
+                      setting.expected())));
+    }
+    if (problems.isEmpty()) {
+      Settings settings = new Settings(file, values);
+      rules.forEach(rule -> rule.check(settings).ifPresent(problems::add));
+      if (problems.isEmpty()) {
+        return new SettingsResult.Loaded(settings);
+      }
+    }
+    return new SettingsResult.Rejected(List.copyOf(problems));
+  }
+
+  private static List<SettingProblem> unknown(
+      String file, IniDocument document, Collection<Setting<?>> declared) {
+    List<SettingProblem> problems = new ArrayList<>();
+    document
+        .sections()
+        .forEach(
+            (section, values) -> {
+              List<String> keys =
+                  declared.stream()
+                      .filter(s -> s.section().equals(section))
+                      .map(Setting::key)
+                      .sorted()
+                      .toList();
+              if (keys.isEmpty()) {
+                List<String> known =
+                    declared.stream().map(Setting::section).distinct().sorted().toList();
+                problems.add(
+                    new SettingProblem(
+                        file,
+                        section,
+                        "",
+                        "an unknown section",
+                        "one of " + String.join(", ", known)));
+                return;
+              }
+              for (String key : values.keySet()) {
+                if (!keys.contains(key)) {
+                  problems.add(
+                      new SettingProblem(
+                          file,
+                          section,
+                          key,
+                          "an unknown key",
+                          "one of " + String.join(", ", keys)));
+                }
+              }
+            });
+    return problems;
+  }
+}
