Add the types that the plug-ins of an entry instance share

Cause: admission, routing and health are built side by side and need one set of messages, refusals and health states.

--- /dev/null
+++ b/core/src/main/java/org/bergamotcross/core/routing/HealthView.java
@@ -0,0 +1,28 @@
+package org.bergamotcross.core.routing;
+
+import java.util.Map;
+import org.bergamotcross.core.config.TargetId;
+
+/**
+ * The status of all targets at one time.
+ *
+ * @param statuses the status by target; a target that is missing is in use with full weight
+ */
+public record HealthView(Map<TargetId, TargetStatus> statuses) {
+  private static final TargetStatus FULL = new TargetStatus.InUse(1.0);
+
+  /** Copies the map. */
+  public HealthView {
+    statuses = Map.copyOf(statuses);
+  }
+
+  /**
+   * Returns the status of a target.
+   *
+   * @param target the target
+   * @return its status
+   */
+  public TargetStatus status(TargetId target) {
+    return statuses.getOrDefault(target, FULL);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/bergamotcross/entry/AdmissionInput.java
@@ -0,0 +1,36 @@
+package org.bergamotcross.entry;
+
+import java.util.Optional;
+import org.bergamotcross.core.admission.Outcome;
+import org.bergamotcross.core.admission.StoredAnswer;
+
+/** The messages of the admission duty. */
+public sealed interface AdmissionInput {
+
+  /**
+   * A request arrived; offered as new work.
+   *
+   * @param request the request
+   */
+  record Arrived(CallerRequest request) implements AdmissionInput {}
+
+  /**
+   * The caller of a request that may still wait went away.
+   *
+   * @param requestId the request
+   */
+  record CallerGone(String requestId) implements AdmissionInput {}
+
+  /**
+   * A request with a claim ended; offered to the reserve.
+   *
+   * @param request the request
+   * @param outcome whether a target ran it
+   * @param answer the answer, when it is small enough to be kept
+   */
+  record ClaimEnded(AdmittedRequest request, Outcome outcome, Optional<StoredAnswer> answer)
+      implements AdmissionInput {}
+
+  /** Messages that only the admission plug-in sends to itself; it seals them on its side. */
+  non-sealed interface Internal extends AdmissionInput {}
+}
--- a/entry/src/main/java/org/bergamotcross/entry/Broadcasts.java
+++ b/entry/src/main/java/org/bergamotcross/entry/Broadcasts.java
@@ -2,6 +2,7 @@
 
 import org.bergamotcross.core.config.Configuration;
 import org.bergamotcross.core.membership.Member;
+import org.bergamotcross.core.routing.HealthView;
 import org.bergamotcross.kernel.Broadcast;
 import org.bergamotcross.kernel.Now;
 
@@ -19,6 +20,9 @@
   /** The process was told to stop; published once. */
   public static final Broadcast<Stopping> STOPPING = new Broadcast<>("stopping");
 
+  /** The status of all targets; published by the health duty when a status changes. */
+  public static final Broadcast<HealthView> HEALTH = new Broadcast<>("health");
+
   private Broadcasts() {}
 
   /**
--- /dev/null
+++ b/entry/src/main/java/org/bergamotcross/entry/HealthInput.java
@@ -0,0 +1,35 @@
+package org.bergamotcross.entry;
+
+import java.time.Duration;
+import org.bergamotcross.core.config.PoolId;
+import org.bergamotcross.core.config.TargetId;
+import org.bergamotcross.core.routing.SendResult;
+
+/** The messages of the health duty. */
+public sealed interface HealthInput {
+
+  /**
+   * An attempt was sent to a target.
+   *
+   * @param attempt the request id and the number of the attempt, unique
+   * @param pool the pool
+   * @param target the target
+   */
+  record Started(String attempt, PoolId pool, TargetId target) implements HealthInput {}
+
+  /**
+   * An attempt ended; offered to the reserve.
+   *
+   * @param attempt the attempt
+   * @param pool the pool
+   * @param target the target
+   * @param result how it ended
+   * @param timeToHead the time from the send to the head of the response, or to the end when there
+   *     was no head
+   */
+  record Ended(String attempt, PoolId pool, TargetId target, SendResult result, Duration timeToHead)
+      implements HealthInput {}
+
+  /** Messages that only the health plug-in sends to itself; it seals them on its side. */
+  non-sealed interface Internal extends HealthInput {}
+}
