Add the exchange of messages between instances

Cause: freshness, rates, claims and health all need messages between instances, with an echo that bounds how old an answer is. Ruled out: one connection for both directions, because a partition that cuts one direction would then look like a dead link in both; echoes by wall clock, because clocks step. Change: an outgoing connection to each member, seed or instance that has introduced itself; frames with a 4-byte length and MessagePack; beats every 500 ms that echo the peer's last sequence number and incarnation; a link without an echo for 5 s is opened anew. Conclusion: plug-ins register their kinds with PeerExchange.

--- a/entry/src/main/java/org/bergamotcross/entry/PeerExchange.java
+++ b/entry/src/main/java/org/bergamotcross/entry/PeerExchange.java
@@ -25,7 +25,7 @@
   interface Handler<T extends Record> {
 
     /**
-     * Takes a message; called on a network thread, so it only offers the message to a ring.
+     * Takes a message; called on the thread of the exchange duty, so it only offers it to a ring.
      *
      * @param from the sender
      * @param message the message
@@ -58,7 +58,8 @@
    * @param to the receiver; a message to the own instance is delivered locally
    * @param kind the name of the kind
    * @param message the message
-   * @return {@link Offer.Full} when the link is down or its queue is full; the message is not sent
+   * @return {@link Offer.Full} when the exchange has no room; the message is not sent. A message to
+   *     a peer whose link is down is dropped and counted in {@code peer.frames-dropped}
    */
   Offer send(InstanceId to, String kind, Record message);
 
--- /dev/null
+++ b/entry/src/main/java/org/bergamotcross/entry/peer/ExchangeDuty.java
@@ -0,0 +1,187 @@
+package org.bergamotcross.entry.peer;
+
+import com.codahale.metrics.Meter;
+import com.codahale.metrics.MetricRegistry;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.bergamotcross.core.config.Configuration;
+import org.bergamotcross.core.membership.InstanceId;
+import org.bergamotcross.core.membership.Member;
+import org.bergamotcross.entry.Broadcasts;
+import org.bergamotcross.entry.Broadcasts.PeerEcho;
+import org.bergamotcross.entry.PeerExchange.Sender;
+import org.bergamotcross.kernel.DutyHandler;
+import org.bergamotcross.kernel.Now;
+import org.bergamotcross.kernel.PluginContext;
+
+/** Runs the links to the peers: introduction, beats, echoes, and the messages of the plug-ins. */
+final class ExchangeDuty implements DutyHandler<ExchangeInput> {
+  // Half a second gives six beats within the 3 s for which an echo counts, so that a few lost
+  // beats do not make an instance stop serving.
+  private static final Duration BEAT_INTERVAL = Duration.ofMillis(500);
+  private static final Duration TICK = Duration.ofMillis(100);
+
+  private final Member self;
+  private final List<String> seeds;
+  private final HandlerRegistry handlers;
+  private final LinkSet links;
+  private final PluginContext context;
+  private final PeerCodec codec = new PeerCodec();
+  private final PeerTable peers;
+  private final Meter sent;
+  private final Meter sentBytes;
+  private final Meter dropped;
+  private final Meter unreadable;
+  private Configuration configuration = Configuration.EMPTY;
+  private Optional<Now> nextBeatAt = Optional.empty();
+
+  ExchangeDuty(
+      Member self,
+      List<String> seeds,
+      HandlerRegistry handlers,
+      LinkSet links,
+      PluginContext context) {
+    this.self = self;
+    this.seeds = seeds;
+    this.handlers = handlers;
+    this.links = links;
+    this.context = context;
+    this.peers = new PeerTable(self.id());
+    MetricRegistry metrics = context.metrics();
+    this.sent = metrics.meter("peer.frames-sent");
+    this.sentBytes = metrics.meter("peer.bytes-sent");
+    this.dropped = metrics.meter("peer.frames-dropped");
+    this.unreadable = metrics.meter("peer.frames-unreadable");
+  }
+
+  @Override
+  public void onMessage(ExchangeInput input, Now now) {
+    switch (input) {
+      case ExchangeInput.Outbound out -> send(out.to(), out.kind(), out.message());
+      case ExchangeInput.OutboundToAll out -> sendToAll(out.kind(), out.message());
+      case ExchangeInput.Inbound in -> receive(in.frame(), now);
+      case ExchangeInput.LinkClosed closed ->
+          links.closed(closed.address(), closed.generation(), now);
+      case ExchangeInput.Configured configured -> configure(configured.configuration(), now);
+    }
+  }
+
+  @Override
+  public Duration onTick(Now now) {
+    peers.forgetSilent(now);
+    maintainLinks(now);
+    if (nextBeatAt.isEmpty() || !now.isBefore(nextBeatAt.get())) {
+      peers.addresses().keySet().forEach(id -> sendBeat(id, now));
+      nextBeatAt = Optional.of(now.plus(BEAT_INTERVAL));
+    }
+    return TICK;
+  }
+
+  private void configure(Configuration next, Now now) {
+    configuration = next;
+    peers.update(next.members(), now);
+    maintainLinks(now);
+  }
+
+  private void maintainLinks(Now now) {
+    Set<String> wanted = new HashSet<>(peers.addresses().values());
+    wanted.addAll(seeds);
+    wanted.remove(self.peerAddress());
+    for (String address : links.maintain(wanted, now)) {
+      write(address, PeerMessages.HELLO, PeerMessages.Hello.of(self));
+    }
+  }
+
+  private void sendBeat(InstanceId id, Now now) {
+    peers
+        .nextBeat(id, configuration.offset(), configuration.members().epoch(), now)
+        .ifPresent(beat -> send(id, PeerMessages.BEAT, beat));
+  }
+
+  private void send(InstanceId to, String kind, Record message) {
+    if (to.equals(self.id())) {
+      handlers.deliver(kind, new Sender(self.id(), self.incarnation()), message);
+      return;
+    }
+    peers.find(to).ifPresentOrElse(peer -> write(peer.peerAddress(), kind, message), dropped::mark);
+  }
+
+  private void sendToAll(String kind, Record message) {
+    byte[] frame = frame(kind, message);
+    for (Map.Entry<InstanceId, String> peer : peers.addresses().entrySet()) {
+      if (configuration.members().find(peer.getKey()).isPresent()) {
+        writeFrame(peer.getValue(), frame);
+      }
+    }
+  }
+
+  private void write(String address, String kind, Record message) {
+    writeFrame(address, frame(kind, message));
+  }
+
+  private byte[] frame(String kind, Record message) {
+    return codec.encode(
+        new Envelope(kind, self.id().value(), self.incarnation(), codec.encode(message)));
+  }
+
+  private void writeFrame(String address, byte[] frame) {
+    if (links.offer(address, frame)) {
+      sent.mark();
+      sentBytes.mark(frame.length + Integer.BYTES);
+    } else {
+      dropped.mark();
+    }
+  }
+
+  private void receive(byte[] frame, Now now) {
+    codec
+        .decode(frame, Envelope.class)
+        .ifPresentOrElse(envelope -> dispatch(envelope, now), unreadable::mark);
+  }
+
+  private void dispatch(Envelope envelope, Now now) {
+    Sender from = new Sender(new InstanceId(envelope.from()), envelope.incarnation());
+    switch (envelope.kind()) {
+      case PeerMessages.HELLO ->
+          codec
+              .decode(envelope.body(), PeerMessages.Hello.class)
+              .ifPresentOrElse(hello -> introduce(hello, now), unreadable::mark);
+      case PeerMessages.BEAT ->
+          codec
+              .decode(envelope.body(), PeerMessages.Beat.class)
+              .ifPresentOrElse(beat -> heard(from, beat, now), unreadable::mark);
+      default -> {
+        if (!handlers.deliver(envelope.kind(), from, envelope.body(), codec)) {
+          unreadable.mark();
+        }
+      }
+    }
+  }
+
+  private void introduce(PeerMessages.Hello hello, Now now) {
+    Member member = hello.member();
+    peers.introduce(member, now);
+    context
+        .events()
+        .event("peer.introduced")
+        .with("peer", member.id())
+        .with("incarnation", member.incarnation())
+        .with("failure-domain", member.failureDomain())
+        .emit();
+    maintainLinks(now);
+  }
+
+  private void heard(Sender from, PeerMessages.Beat beat, Now now) {
+    Optional<Now> sentAt =
+        peers.heard(from.id(), from.incarnation(), beat, self.incarnation(), now);
+    Optional<Member> peer = peers.find(from.id());
+    if (sentAt.isPresent() && peer.isPresent()) {
+      links.echoed(peer.get().peerAddress(), now);
+      context.publish(Broadcasts.PEER_ECHO, new PeerEcho(peer.get(), sentAt.get(), beat.offset()));
+    }
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/bergamotcross/entry/peer/ExchangePlugin.java
@@ -0,0 +1,165 @@
+package org.bergamotcross.entry.peer;
+
+import java.net.InetSocketAddress;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.apache.pekko.actor.ActorSystem;
+import org.apache.pekko.stream.javadsl.Sink;
+import org.apache.pekko.stream.javadsl.Tcp;
+import org.bergamotcross.core.membership.FailureDomain;
+import org.bergamotcross.core.membership.InstanceId;
+import org.bergamotcross.core.membership.Member;
+import org.bergamotcross.entry.Broadcasts;
+import org.bergamotcross.entry.PeerExchange;
+import org.bergamotcross.kernel.Offer;
+import org.bergamotcross.kernel.Plugin;
+import org.bergamotcross.kernel.PluginContext;
+import org.bergamotcross.kernel.PluginStartException;
+import org.bergamotcross.kernel.Ring;
+import org.bergamotcross.kernel.Setting;
+import org.bergamotcross.kernel.Topic;
+
+/** Provides {@link PeerExchange}: accepts peers on {@code [listen] peers} and connects to them. */
+public final class ExchangePlugin implements Plugin {
+  private static final Topic<ExchangeInput> EXCHANGE = new Topic<>("exchange");
+  private static final Setting<String> ID = Setting.name("instance", "id");
+  private static final Setting<String> FAILURE_DOMAIN = Setting.name("instance", "failure-domain");
+  private static final Setting<InetSocketAddress> LISTEN = Setting.address("listen", "peers");
+  private static final Setting<List<String>> SEEDS =
+      new Setting<>(
+          "peers",
+          "seeds",
+          "addresses such as 127.0.0.1:8081, separated by commas",
+          Optional.of(""),
+          ExchangePlugin::readSeeds);
+
+  // A frame is at most one request's worth of control data; 16,384 of them cover a burst.
+  private static final int RING_CAPACITY = 16_384;
+  private static final Duration BIND_TIMEOUT = Duration.ofSeconds(5);
+
+  private final HandlerRegistry handlers = new HandlerRegistry();
+  private Member self;
+  private Ring<ExchangeInput> ring;
+
+  @Override
+  public String name() {
+    return "exchange";
+  }
+
+  @Override
+  public List<Setting<?>> settings() {
+    return List.of(ID, FAILURE_DOMAIN, LISTEN, SEEDS);
+  }
+
+  @Override
+  public void configure(PluginContext context) {
+    ring = context.open(EXCHANGE, RING_CAPACITY);
+    self =
+        new Member(
+            new InstanceId(context.settings().value(ID)),
+            newIncarnation(),
+            new FailureDomain(context.settings().value(FAILURE_DOMAIN)),
+            text(context.settings().value(LISTEN)));
+    context.provide(PeerExchange.class, new RingExchange(handlers, ring, self));
+    context.subscribe(
+        Broadcasts.CONFIGURATION,
+        configuration -> ring.offerReserved(new ExchangeInput.Configured(configuration)));
+  }
+
+  @Override
+  public void start(PluginContext context) throws PluginStartException {
+    ActorSystem system =
+        context
+            .service(ActorSystem.class)
+            .orElseThrow(() -> new IllegalStateException("no plug-in provides an actor system"));
+    LinkSet links =
+        context
+            .closer()
+            .register(
+                "peer-links",
+                new LinkSet(
+                    (address, onClosed) -> PeerLink.open(system, address, onClosed),
+                    (address, generation) ->
+                        ring.offerReserved(new ExchangeInput.LinkClosed(address, generation))));
+    listen(context, system);
+    context.startDuty(
+        EXCHANGE,
+        new ExchangeDuty(self, context.settings().value(SEEDS), handlers, links, context));
+  }
+
+  private void listen(PluginContext context, ActorSystem system) throws PluginStartException {
+    InetSocketAddress address = context.settings().value(LISTEN);
+    CompletionStage<Tcp.ServerBinding> bound =
+        Tcp.get(system)
+            .bind(address.getHostString(), address.getPort())
+            .to(
+                Sink.foreach(
+                    connection ->
+                        connection.handleWith(
+                            PeerLink.receiving(
+                                frame -> ring.offer(new ExchangeInput.Inbound(frame))),
+                            system)))
+            .run(system);
+    try {
+      Tcp.ServerBinding binding =
+          bound.toCompletableFuture().get(BIND_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+      context.closer().register("peer-listener", () -> binding.unbind());
+    } catch (ExecutionException | TimeoutException e) {
+      throw new PluginStartException(
+          "[listen] peers = "
+              + text(address)
+              + " can't be bound; use a free address of this machine",
+          e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new PluginStartException("interrupted while binding " + text(address), e);
+    }
+  }
+
+  // Random, since an instance keeps nothing that it could count on from one start to the next.
+  private static long newIncarnation() {
+    return new SecureRandom().nextLong(1, Long.MAX_VALUE);
+  }
+
+  private static String text(InetSocketAddress address) {
+    return address.getHostString() + ":" + address.getPort();
+  }
+
+  private static Optional<List<String>> readSeeds(String text) {
+    List<String> seeds =
+        Arrays.stream(text.split(",", -1)).map(String::strip).filter(s -> !s.isEmpty()).toList();
+    boolean right = seeds.stream().allMatch(seed -> Setting.readAddress(seed).isPresent());
+    return right ? Optional.of(seeds) : Optional.empty();
+  }
+
+  /** Hands all messages to the exchange duty, which alone uses the links. */
+  private record RingExchange(HandlerRegistry handlers, Ring<ExchangeInput> ring, Member self)
+      implements PeerExchange {
+    @Override
+    public <T extends Record> void handle(String kind, Class<T> type, Handler<T> handler) {
+      handlers.add(kind, type, handler);
+    }
+
+    @Override
+    public Offer send(InstanceId to, String kind, Record message) {
+      return ring.offer(new ExchangeInput.Outbound(to, kind, message));
+    }
+
+    @Override
+    public void sendAll(String kind, Record message) {
+      ring.offer(new ExchangeInput.OutboundToAll(kind, message));
+    }
+
+    @Override
+    public long incarnation() {
+      return self.incarnation();
+    }
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/bergamotcross/entry/peer/PeerLink.java
@@ -0,0 +1,108 @@
+package org.bergamotcross.entry.peer;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteOrder;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.apache.pekko.actor.ActorSystem;
+import org.apache.pekko.stream.BoundedSourceQueue;
+import org.apache.pekko.stream.KillSwitches;
+import org.apache.pekko.stream.Materializer;
+import org.apache.pekko.stream.SystemMaterializer;
+import org.apache.pekko.stream.UniqueKillSwitch;
+import org.apache.pekko.stream.javadsl.Flow;
+import org.apache.pekko.stream.javadsl.Framing;
+import org.apache.pekko.stream.javadsl.Keep;
+import org.apache.pekko.stream.javadsl.Sink;
+import org.apache.pekko.stream.javadsl.Source;
+import org.apache.pekko.stream.javadsl.Tcp;
+import org.apache.pekko.util.ByteString;
+import org.apache.pekko.util.ByteStringBuilder;
+
+/**
+ * An outgoing connection to one peer; it carries this instance's messages only.
+ *
+ * <p>The peer answers on its own connection, so a partition that cuts one direction cuts exactly
+ * one of the two connections.
+ */
+final class PeerLink implements AutoCloseable {
+  /** The largest frame; a snapshot of the configuration is the largest message. */
+  static final int MAX_FRAME_BYTES = 16 * 1024 * 1024;
+
+  // A peer that is paused must not hold back messages without bound: 1,024 frames, then refusal.
+  private static final int QUEUE_CAPACITY = 1024;
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+
+  private final BoundedSourceQueue<ByteString> queue;
+  private final UniqueKillSwitch killSwitch;
+
+  private PeerLink(BoundedSourceQueue<ByteString> queue, UniqueKillSwitch killSwitch) {
+    this.queue = queue;
+    this.killSwitch = killSwitch;
+  }
+
+  /**
+   * Opens a connection; frames offered before it is established wait in its queue.
+   *
+   * @param system the actor system
+   * @param address the peer's address
+   * @param onClosed called once, on a network thread, when the connection has ended
+   * @return the link
+   */
+  static PeerLink open(ActorSystem system, InetSocketAddress address, Runnable onClosed) {
+    Materializer materializer = SystemMaterializer.get(system).materializer();
+    var connection =
+        Tcp.get(system)
+            .outgoingConnection(
+                address,
+                Optional.empty(),
+                List.of(),
+                false,
+                Optional.of(CONNECT_TIMEOUT),
+                Optional.empty());
+    var running =
+        Source.<ByteString>queue(QUEUE_CAPACITY)
+            .viaMat(KillSwitches.single(), Keep.both())
+            .via(connection)
+            .toMat(Sink.ignore(), Keep.both())
+            .run(materializer);
+    running.second().whenComplete((done, failure) -> onClosed.run());
+    return new PeerLink(running.first().first(), running.first().second());
+  }
+
+  /**
+   * Offers a frame.
+   *
+   * @param payload the content of the frame
+   * @return whether the queue had room and the connection is not closed
+   */
+  boolean offer(byte[] payload) {
+    ByteString frame =
+        new ByteStringBuilder()
+            .putInt(payload.length, ByteOrder.BIG_ENDIAN)
+            .append(ByteString.fromArrayUnsafe(payload))
+            .result();
+    return queue.offer(frame).isEnqueued();
+  }
+
+  /**
+   * Returns a flow that accepts the frames of a peer and sends nothing.
+   *
+   * @param receiver takes the content of each frame, on a network thread
+   * @return the flow of one incoming connection
+   */
+  static Flow<ByteString, ByteString, ?> receiving(Consumer<byte[]> receiver) {
+    return Flow.fromSinkAndSourceCoupled(
+        Flow.of(ByteString.class)
+            .via(Framing.lengthField(Integer.BYTES, 0, MAX_FRAME_BYTES, ByteOrder.BIG_ENDIAN))
+            .to(Sink.foreach(frame -> receiver.accept(frame.drop(Integer.BYTES).toArray()))),
+        Source.maybe());
+  }
+
+  @Override
+  public void close() {
+    killSwitch.shutdown();
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/bergamotcross/entry/peer/PeerMessages.java
@@ -0,0 +1,50 @@
+package org.bergamotcross.entry.peer;
+
+import org.bergamotcross.core.membership.FailureDomain;
+import org.bergamotcross.core.membership.InstanceId;
+import org.bergamotcross.core.membership.Member;
+
+/** The messages that the exchange itself sends. */
+final class PeerMessages {
+  /** The kind of {@link Hello}. */
+  static final String HELLO = "hello";
+
+  /** The kind of {@link Beat}. */
+  static final String BEAT = "beat";
+
+  private PeerMessages() {}
+
+  /**
+   * Introduces the sender; the first message on each connection.
+   *
+   * @param id the instance
+   * @param incarnation its incarnation
+   * @param failureDomain where it runs
+   * @param peerAddress where it accepts peers, as {@code ip:port}
+   */
+  record Hello(String id, long incarnation, String failureDomain, String peerAddress) {
+    static Hello of(Member member) {
+      return new Hello(
+          member.id().value(),
+          member.incarnation(),
+          member.failureDomain().value(),
+          member.peerAddress());
+    }
+
+    Member member() {
+      return new Member(
+          new InstanceId(id), incarnation, new FailureDomain(failureDomain), peerAddress);
+    }
+  }
+
+  /**
+   * Shows that the sender runs and which of the receiver's beats it has heard.
+   *
+   * @param sequence the number of this beat on the link
+   * @param echoIncarnation the incarnation of the receiver whose beat is echoed
+   * @param echoSequence the highest number heard from that incarnation, 0 for none
+   * @param offset the offset that the sender has folded
+   * @param epoch the epoch of the sender's members
+   */
+  record Beat(long sequence, long echoIncarnation, long echoSequence, long offset, long epoch) {}
+}
--- /dev/null
+++ b/entry/src/main/java/org/bergamotcross/entry/peer/package-info.java
@@ -0,0 +1,2 @@
+/** The exchange of messages between instances: TCP frames of MessagePack. */
+package org.bergamotcross.entry.peer;
--- /dev/null
+++ b/entry/src/test/java/org/bergamotcross/entry/peer/ExchangePluginTest.java
@@ -0,0 +1,130 @@
+package org.bergamotcross.entry.peer;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.List;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.bergamotcross.core.membership.InstanceId;
+import org.bergamotcross.entry.ActorSystemPlugin;
+import org.bergamotcross.entry.Broadcasts;
+import org.bergamotcross.entry.PeerExchange;
+import org.bergamotcross.kernel.Kernel;
+import org.bergamotcross.kernel.Plugin;
+import org.bergamotcross.kernel.PluginStartException;
+import org.bergamotcross.kernel.Settings;
+import org.bergamotcross.kernel.SettingsResult;
+import org.bergamotcross.kernel.TimeSource;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Runs two exchanges over real sockets; the second one knows the first one as a seed. */
+class ExchangePluginTest {
+  private static final long LIMIT_SECONDS = 20;
+
+  record Note(String text, List<Double> shares) {}
+
+  private final int firstPort = freePort();
+  private final int secondPort = freePort();
+  private final BlockingQueue<Broadcasts.PeerEcho> echoes = new ArrayBlockingQueue<>(1000);
+  private final BlockingQueue<String> notes = new ArrayBlockingQueue<>(1000);
+  private Kernel first;
+  private Kernel second;
+
+  private static int freePort() {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return socket.getLocalPort();
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private static Kernel kernel(String id, int port, String seeds) {
+    List<Plugin> plugins = List.of(new ActorSystemPlugin(), new ExchangePlugin());
+    String text =
+        "[instance]\nid = %s\nfailure-domain = d-%s\n[listen]\npeers = 127.0.0.1:%d\n%s"
+            .formatted(id, id, port, seeds);
+    SettingsResult result =
+        Settings.parse(id + ".ini", text, Kernel.settingsOf(plugins), Kernel.rulesOf(plugins));
+    return new Kernel(plugins, ((SettingsResult.Loaded) result).settings(), TimeSource.system());
+  }
+
+  private PeerExchange exchange(Kernel kernel) {
+    return kernel.context().service(PeerExchange.class).orElseThrow();
+  }
+
+  @BeforeEach
+  void start() throws PluginStartException {
+    first = kernel("a", firstPort, "");
+    second = kernel("b", secondPort, "[peers]\nseeds = 127.0.0.1:" + firstPort + "\n");
+    first.context().subscribe(Broadcasts.PEER_ECHO, echoes::add);
+    first.start();
+    second.start();
+    exchange(first)
+        .handle("note", Note.class, (from, note) -> notes.add(from.id() + ":" + note.text()));
+  }
+
+  @AfterEach
+  void stop() {
+    second.close();
+    first.close();
+  }
+
+  @Nested
+  class Beats {
+    @Test
+    void areEchoedInBothDirectionsAfterOneSideConnects() throws InterruptedException {
+      Broadcasts.PeerEcho echo = echoes.poll(LIMIT_SECONDS, TimeUnit.SECONDS);
+      assertThat(echo).isNotNull();
+      assertThat(echo.peer().id()).isEqualTo(new InstanceId("b"));
+      assertThat(echo.offset()).isEqualTo(-1);
+    }
+
+    // A peer that is replaced under the same id must be met again without an operator.
+    @Test
+    void goOnAfterThePeerRestarts() throws InterruptedException, PluginStartException {
+      Broadcasts.PeerEcho before = echoes.poll(LIMIT_SECONDS, TimeUnit.SECONDS);
+      second.close();
+      second = kernel("b", secondPort, "[peers]\nseeds = 127.0.0.1:" + firstPort + "\n");
+      second.start();
+      long incarnation = exchange(second).incarnation();
+      Broadcasts.PeerEcho echo = echoes.poll(LIMIT_SECONDS, TimeUnit.SECONDS);
+      while (echo != null && echo.peer().incarnation() != incarnation) {
+        echo = echoes.poll(LIMIT_SECONDS, TimeUnit.SECONDS);
+      }
+      assertThat(echo).isNotNull();
+      assertThat(before.peer().incarnation()).isNotEqualTo(incarnation);
+    }
+  }
+
+  @Nested
+  class Messages {
+    @Test
+    void reachTheRegisteredReceiver() throws InterruptedException {
+      echoes.poll(LIMIT_SECONDS, TimeUnit.SECONDS);
+      exchange(second).send(new InstanceId("a"), "note", new Note("hello", List.of(0.5)));
+      assertThat(notes.poll(LIMIT_SECONDS, TimeUnit.SECONDS)).isEqualTo("b:hello");
+    }
+
+    @Test
+    void toTheOwnInstanceAreDeliveredLocally() throws InterruptedException {
+      exchange(first).send(new InstanceId("a"), "note", new Note("self", List.of()));
+      assertThat(notes.poll(LIMIT_SECONDS, TimeUnit.SECONDS)).isEqualTo("a:self");
+    }
+
+    // A kind that only a newer version knows must not disturb the link.
+    @Test
+    void ofAnUnknownKindAreSkipped() throws InterruptedException {
+      echoes.poll(LIMIT_SECONDS, TimeUnit.SECONDS);
+      exchange(second).send(new InstanceId("a"), "unknown", new Note("x", List.of()));
+      exchange(second).send(new InstanceId("a"), "note", new Note("after", List.of()));
+      assertThat(notes.poll(LIMIT_SECONDS, TimeUnit.SECONDS)).isEqualTo("b:after");
+    }
+  }
+}
--- /dev/null
+++ b/entry/src/test/java/org/bergamotcross/entry/peer/PeerTableTest.java
@@ -0,0 +1,78 @@
+package org.bergamotcross.entry.peer;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import org.bergamotcross.core.membership.FailureDomain;
+import org.bergamotcross.core.membership.InstanceId;
+import org.bergamotcross.core.membership.Member;
+import org.bergamotcross.core.membership.Members;
+import org.bergamotcross.entry.peer.PeerMessages.Beat;
+import org.bergamotcross.kernel.Now;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class PeerTableTest {
+  private static final InstanceId PEER = new InstanceId("b");
+  private static final long OWN = 7;
+  private static final long THEIRS = 9;
+
+  private final PeerTable table = new PeerTable(new InstanceId("a"));
+
+  private static Member member(long incarnation) {
+    return new Member(PEER, incarnation, new FailureDomain("d1"), "127.0.0.1:9");
+  }
+
+  private void sendBeats(int count) {
+    for (int i = 0; i < count; i++) {
+      table.nextBeat(PEER, 0, 0, Now.ofMillis(500L * i));
+    }
+  }
+
+  @Nested
+  class Echoes {
+    // A paused instance reads old beats after it wakes; they must not count as fresh.
+    @Test
+    void areAsOldAsTheBeatThatTheyEcho() {
+      table.introduce(member(THEIRS), Now.ofMillis(0));
+      sendBeats(3);
+      assertThat(table.heard(PEER, THEIRS, new Beat(1, OWN, 2, 5, 5), OWN, Now.ofMillis(60_000)))
+          .hasValue(Now.ofMillis(500));
+    }
+
+    // A restarted instance must not count answers to the beats of its predecessor.
+    @Test
+    void ofAnEarlierIncarnationDoNotCount() {
+      table.introduce(member(THEIRS), Now.ofMillis(0));
+      sendBeats(3);
+      assertThat(table.heard(PEER, THEIRS, new Beat(1, OWN - 1, 2, 5, 5), OWN, Now.ofMillis(9)))
+          .isEmpty();
+    }
+
+    @Test
+    void fromAnEarlierIncarnationOfThePeerDoNotCount() {
+      table.introduce(member(THEIRS), Now.ofMillis(0));
+      sendBeats(3);
+      table.introduce(member(THEIRS + 1), Now.ofMillis(1500));
+      assertThat(table.heard(PEER, THEIRS, new Beat(1, OWN, 2, 5, 5), OWN, Now.ofMillis(1501)))
+          .isEmpty();
+    }
+  }
+
+  @Nested
+  class Silence {
+    @Test
+    void forgetsInstancesThatAreNoMembers() {
+      table.introduce(member(THEIRS), Now.ofMillis(0));
+      table.forgetSilent(Now.ofMillis(30_001));
+      assertThat(table.find(PEER)).isEmpty();
+    }
+
+    @Test
+    void keepsMembers() {
+      table.update(new Members(3, List.of(member(THEIRS))), Now.ofMillis(0));
+      table.forgetSilent(Now.ofMillis(30_001));
+      assertThat(table.find(PEER)).isPresent();
+    }
+  }
+}
