Add rates over the whole fleet: buckets at holders, borrowed tokens, wait list

Cause: an organisation may get rate x time + burst over all instances together, under loss, delay, pauses, restarts, partitions and changes of members.

Ruled out: crediting a token when it is granted only. Tokens are used up to 1 s later, so the holder counts a grant against its burst until the borrower reports its use or 1.25 s have passed. Ruled out too: starting a gained part T after a majority has the configuration; the predecessor's last grants live on, so the part starts T + 1.25 s after, or at once by a handover from the predecessor.

Change: TokenBucket, RateHolder, RateBorrower, RateWaitList, joined by RateAdmission; a seeded fake fleet in the tests.

--- /dev/null
+++ b/core/src/main/java/org/bergamotcross/core/admission/RateDecision.java
@@ -0,0 +1,18 @@
+package org.bergamotcross.core.admission;
+
+/** What the rate of an organisation means for one request. */
+public sealed interface RateDecision {
+
+  /** The request may run. */
+  record Admitted() implements RateDecision {}
+
+  /** The request waits for a token; a later {@link RateStep} ends it. */
+  record Waiting() implements RateDecision {}
+
+  /**
+   * The request must not run.
+   *
+   * @param refusal why
+   */
+  record Refused(Refusal refusal) implements RateDecision {}
+}
--- /dev/null
+++ b/core/src/test/java/org/bergamotcross/core/admission/FakeFleet.java
@@ -0,0 +1,350 @@
+package org.bergamotcross.core.admission;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.function.UnaryOperator;
+import org.bergamotcross.core.config.Configuration;
+import org.bergamotcross.core.config.TeamSettings;
+import org.bergamotcross.core.membership.FailureDomain;
+import org.bergamotcross.core.membership.InstanceId;
+import org.bergamotcross.core.membership.Member;
+import org.bergamotcross.core.membership.Members;
+import org.bergamotcross.kernel.Now;
+
+/** Runs the state machines of several instances over a seeded network, log and clocks. */
+final class FakeFleet {
+  private static final long MILLI = 1_000_000L;
+  private static final Duration FRESHNESS = Duration.ofSeconds(3);
+
+  /** The state machines of one process. */
+  interface Behavior {
+    void configure(Configuration configuration, Now now);
+
+    void freshUntil(Now until);
+
+    void onMessage(InstanceId from, Record message, Now now);
+
+    void onTick(Now now);
+  }
+
+  /** What the network does to each message. */
+  record Weather(int lossPerMille, int duplicatePerMille, int maxDelayMillis) {}
+
+  private record Event(long at, long order, Runnable action) {}
+
+  private final Random random;
+  private final Weather weather;
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
+  private final List<Configuration> log = new ArrayList<>();
+  private final Map<String, Node> nodes = new HashMap<>();
+  private final Set<String> cut = new HashSet<>();
+  private boolean logAway;
+  private long order;
+  private long time;
+  long messages;
+
+  FakeFleet(long seed, Weather weather, TeamSettings team) {
+    this.random = new Random(seed);
+    this.weather = weather;
+    log.add(Configuration.of(0, Map.of(team.team(), team), Set.of(), Members.NONE));
+  }
+
+  long millis() {
+    return time / MILLI;
+  }
+
+  Node node(String id) {
+    return nodes.get(id);
+  }
+
+  Configuration head() {
+    return log.getLast();
+  }
+
+  void at(long millis, Runnable action) {
+    events.add(new Event(millis * MILLI, order++, action));
+  }
+
+  private void after(long nanos, Runnable action) {
+    events.add(new Event(time + nanos, order++, action));
+  }
+
+  void runUntil(long millis) {
+    while (!events.isEmpty() && events.peek().at() <= millis * MILLI) {
+      Event event = events.poll();
+      time = event.at();
+      event.action().run();
+    }
+    time = millis * MILLI;
+  }
+
+  Node start(String id, String domain, Function<Node, Behavior> factory) {
+    Node node = new Node(id, domain, factory);
+    nodes.put(id, node);
+    node.restart();
+    return node;
+  }
+
+  void editTeams(UnaryOperator<TeamSettings> edit) {
+    Configuration head = head();
+    Map<String, TeamSettings> teams = new HashMap<>();
+    head.teams().forEach((name, team) -> teams.put(name, edit.apply(team)));
+    log.add(Configuration.of(head.offset() + 1, teams, Set.of(), head.members()));
+  }
+
+  void leave(String id) {
+    List<Member> left = new ArrayList<>(head().members().list());
+    if (left.removeIf(member -> member.id().value().equals(id))) {
+      appendMembers(left);
+    }
+  }
+
+  private void appendMembers(List<Member> list) {
+    long offset = head().offset() + 1;
+    log.add(Configuration.of(offset, head().teams(), Set.of(), new Members(offset, list)));
+  }
+
+  void setLogAway(boolean away) {
+    logAway = away;
+  }
+
+  void cut(String from, String to, boolean isCut) {
+    if (isCut) {
+      cut.add(from + ">" + to);
+    } else {
+      cut.remove(from + ">" + to);
+    }
+  }
+
+  private void transmit(Node from, String to, Runnable delivery) {
+    messages++;
+    if (cut.contains(from.id + ">" + to) || random.nextInt(1000) < weather.lossPerMille()) {
+      return;
+    }
+    int copies = random.nextInt(1000) < weather.duplicatePerMille() ? 2 : 1;
+    for (int i = 0; i < copies; i++) {
+      after(delay(), delivery);
+    }
+  }
+
+  // Most messages are fast; one in twenty takes up to the longest delay.
+  private long delay() {
+    long slowest = random.nextInt(20) == 0 ? weather.maxDelayMillis() : 2;
+    return (long) (random.nextDouble() * slowest * MILLI) + MILLI / 10;
+  }
+
+  /** One instance, which keeps its id over restarts. */
+  final class Node {
+    final String id;
+    final InstanceId instance;
+    private final FailureDomain domain;
+    private final Function<Node, Behavior> factory;
+    private final double drift = 1 + (random.nextDouble() - 0.5) * 0.02;
+    private long wallStepMillis;
+    private Optional<Behavior> process = Optional.empty();
+    private long incarnation;
+    private long pausedUntil;
+    private long offset;
+    private final Map<String, Now> echoes = new HashMap<>();
+    private Optional<Now> confirmed = Optional.empty();
+
+    private Node(String id, String domain, Function<Node, Behavior> factory) {
+      this.id = id;
+      this.instance = new InstanceId(id);
+      this.domain = new FailureDomain(domain);
+      this.factory = factory;
+    }
+
+    long incarnation() {
+      return incarnation;
+    }
+
+    Optional<Behavior> process() {
+      return process;
+    }
+
+    boolean isRunning() {
+      return process.isPresent() && time >= pausedUntil;
+    }
+
+    Now now() {
+      return new Now((long) (time * drift) + 7_000_000_000L, time / MILLI + wallStepMillis);
+    }
+
+    void stepWallClock(long stepMillis) {
+      wallStepMillis += stepMillis;
+    }
+
+    void kill() {
+      process = Optional.empty();
+    }
+
+    void pause(long millis) {
+      pausedUntil = time + millis * MILLI;
+    }
+
+    void restart() {
+      incarnation = ++order;
+      offset = -1;
+      echoes.clear();
+      confirmed = Optional.empty();
+      process = Optional.of(factory.apply(this));
+      long started = incarnation;
+      repeat(started, 10, () -> process.orElseThrow().onTick(now()));
+      repeat(started, 500, this::beat);
+      repeat(started, 150, this::pollLog);
+      repeat(started, 400, this::join);
+    }
+
+    // Work of a paused process runs when it resumes, like the messages in its socket.
+    private void inProcess(long started, Runnable action) {
+      if (process.isEmpty() || incarnation != started) {
+        return;
+      }
+      if (time < pausedUntil) {
+        after(pausedUntil - time + 1, () -> inProcess(started, action));
+      } else {
+        action.run();
+      }
+    }
+
+    private void repeat(long started, long millis, Runnable action) {
+      after(
+          (millis * MILLI * 3 + random.nextInt((int) (millis * MILLI))) / 4,
+          () ->
+              inProcess(
+                  started,
+                  () -> {
+                    action.run();
+                    repeat(started, millis, action);
+                  }));
+    }
+
+    void send(InstanceId to, Record message) {
+      Node receiver = nodes.get(to.value());
+      if (receiver != null) {
+        long target = receiver.incarnation;
+        transmit(
+            this,
+            receiver.id,
+            () ->
+                receiver.inProcess(
+                    target,
+                    () ->
+                        receiver
+                            .process
+                            .orElseThrow()
+                            .onMessage(instance, message, receiver.now())));
+      }
+    }
+
+    private void join() {
+      boolean member =
+          head().members().find(instance).map(m -> m.incarnation() == incarnation).orElse(false);
+      if (!logAway && !member && !id.startsWith("gone")) {
+        List<Member> list = new ArrayList<>(head().members().list());
+        list.removeIf(m -> m.id().equals(instance));
+        list.add(new Member(instance, incarnation, domain, id));
+        appendMembers(list);
+      }
+    }
+
+    private void pollLog() {
+      Now asked = now();
+      long started = incarnation;
+      if (logAway || cut.contains(id + ">log")) {
+        return;
+      }
+      after(
+          delay(),
+          () -> {
+            long seen = head().offset();
+            after(
+                delay(),
+                () ->
+                    inProcess(
+                        started,
+                        () -> {
+                          adopt(seen);
+                          if (offset == seen) {
+                            confirmed = Optional.of(asked);
+                            publishFreshness();
+                          }
+                        }));
+          });
+    }
+
+    // A process that has just started sees only the last configuration, as after a snapshot.
+    private void adopt(long upTo) {
+      long first = offset < 0 ? upTo : offset + 1;
+      for (long next = first; next <= upTo; next++) {
+        offset = next;
+        process.orElseThrow().configure(log.get((int) next), now());
+      }
+    }
+
+    private void beat() {
+      Now sent = now();
+      long started = incarnation;
+      long carried = offset;
+      for (Node peer : nodes.values()) {
+        if (peer != this && offset >= 0) {
+          long target = peer.incarnation;
+          transmit(
+              this,
+              peer.id,
+              () -> peer.inProcess(target, () -> peer.echo(this, started, sent, carried)));
+        }
+      }
+    }
+
+    private void echo(Node asker, long askerIncarnation, Now sent, long carried) {
+      if (offset < 0) {
+        return;
+      }
+      adopt(carried);
+      long own = offset;
+      transmit(
+          this,
+          asker.id,
+          () -> asker.inProcess(askerIncarnation, () -> asker.onEcho(this, sent, own)));
+    }
+
+    private void onEcho(Node peer, Now sent, long peerOffset) {
+      adopt(peerOffset);
+      echoes.merge(peer.id, sent, (a, b) -> a.isAfter(b) ? a : b);
+      process.orElseThrow().onMessage(peer.instance, new PeerOffset(peerOffset), now());
+      publishFreshness();
+    }
+
+    private void publishFreshness() {
+      Members members = log.get((int) offset).members();
+      List<Now> heard = new ArrayList<>();
+      members.list().stream()
+          .map(m -> m.id().equals(instance) ? now() : echoes.get(m.id().value()))
+          .filter(at -> at != null)
+          .forEach(heard::add);
+      heard.sort(Comparator.reverseOrder());
+      Optional<Now> best = confirmed;
+      if (members.list().size() > 0 && heard.size() >= members.majority()) {
+        Now byPeers = heard.get(members.majority() - 1);
+        best = best.filter(c -> c.isAfter(byPeers)).or(() -> Optional.of(byPeers));
+      }
+      best.ifPresent(at -> process.orElseThrow().freshUntil(at.plus(FRESHNESS)));
+    }
+  }
+
+  /** Tells a process the offset that a peer has confirmed. */
+  record PeerOffset(long offset) {}
+}
--- /dev/null
+++ b/core/src/test/java/org/bergamotcross/core/admission/RateAdmissionTest.java
@@ -0,0 +1,233 @@
+package org.bergamotcross.core.admission;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Group;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.bergamotcross.core.config.Configuration;
+import org.bergamotcross.core.config.Organisation;
+import org.bergamotcross.core.config.OrganisationId;
+import org.bergamotcross.core.config.TeamSettings;
+import org.bergamotcross.core.membership.InstanceId;
+import org.bergamotcross.kernel.Now;
+
+/** Guards against an organisation that gets more than its rate over the fleet, or less. */
+class RateAdmissionTest {
+  private static final int WARM_UP_MILLIS = 12_000;
+
+  /** One process with its rate admission, which counts what its requests came to. */
+  private static final class RateProcess implements FakeFleet.Behavior {
+    private final FakeFleet.Node node;
+    private final OffsetQuorum quorum;
+    private final RateAdmission rates;
+    private final Tally tally;
+
+    RateProcess(FakeFleet.Node node, Tally tally) {
+      this.node = node;
+      this.tally = tally;
+      this.quorum = new OffsetQuorum(node.instance);
+      this.rates = new RateAdmission(node.instance, node.incarnation(), quorum, 2000);
+    }
+
+    @Override
+    public void configure(Configuration configuration, Now now) {
+      quorum.configure(configuration);
+      rates.configure(configuration, now);
+      onTick(now);
+    }
+
+    @Override
+    public void freshUntil(Now until) {
+      rates.freshUntil(until);
+    }
+
+    @Override
+    public void onMessage(InstanceId from, Record message, Now now) {
+      if (message instanceof FakeFleet.PeerOffset peer) {
+        quorum.heard(from, peer.offset());
+      } else {
+        rates.onMessage(from, message, now);
+      }
+      onTick(now);
+    }
+
+    @Override
+    public void onTick(Now now) {
+      RateStep step = rates.step(now);
+      step.messages().forEach(message -> node.send(message.to(), message.message()));
+      step.ended().forEach(ended -> tally.count(ended.decision()));
+    }
+
+    void arrive(String request, Organisation organisation, Now now) {
+      tally.count(rates.arrive(request, organisation, now.plus(Duration.ofSeconds(10)), now));
+      onTick(now);
+    }
+  }
+
+  /** Counts decisions of all processes for one organisation. */
+  private static final class Tally {
+    private final FakeFleet fleet;
+    final List<Long> admittedMillis = new ArrayList<>();
+    final Map<String, Integer> refusals = new TreeMap<>();
+
+    Tally(FakeFleet fleet) {
+      this.fleet = fleet;
+    }
+
+    void count(RateDecision decision) {
+      switch (decision) {
+        case RateDecision.Admitted ignored -> admittedMillis.add(fleet.millis());
+        case RateDecision.Refused refused ->
+            refusals.merge(refused.refusal().code(), 1, Integer::sum);
+        case RateDecision.Waiting ignored -> {}
+      }
+    }
+
+    /** Returns the most that any window admitted beyond rate x time. */
+    double greatestBurst(double rate) {
+      double worst = 0;
+      double least = Double.MAX_VALUE;
+      for (int i = 0; i < admittedMillis.size(); i++) {
+        double line = i - rate * admittedMillis.get(i) / 1000.0;
+        least = Math.min(least, line);
+        worst = Math.max(worst, line + 1 - least);
+      }
+      return worst;
+    }
+  }
+
+  private static TeamSettings team(Organisation organisation) {
+    return new TeamSettings("t", List.of(organisation), List.of(), List.of(), List.of());
+  }
+
+  private static Organisation organisation(double rate, double burst) {
+    return new Organisation(new OrganisationId("t/large"), rate, burst);
+  }
+
+  private FakeFleet fleet(
+      long seed, FakeFleet.Weather weather, Organisation organisation, Tally[] tally) {
+    FakeFleet fleet = new FakeFleet(seed, weather, team(organisation));
+    tally[0] = new Tally(fleet);
+    for (String id : Schedules.NODES) {
+      fleet.start(id, id.substring(0, 1), node -> new RateProcess(node, tally[0]));
+    }
+    return fleet;
+  }
+
+  private void arriveAt(FakeFleet fleet, long millis, String id, String request) {
+    fleet.at(
+        millis,
+        () -> {
+          FakeFleet.Node node = fleet.node(id);
+          if (node.isRunning()) {
+            Organisation current = fleet.head().organisations().iterator().next();
+            ((RateProcess) node.process().orElseThrow()).arrive(request, current, node.now());
+          }
+        });
+  }
+
+  // Most requests come to one instance, which changes every two seconds.
+  private String unevenNode(Random random, long millis) {
+    int favourite = (int) (millis / 2000) % Schedules.NODES.size();
+    return Schedules.NODES.get(
+        random.nextInt(4) > 0 ? favourite : random.nextInt(Schedules.NODES.size()));
+  }
+
+  @Group
+  class Excess {
+    @Provide
+    Arbitrary<List<Schedules.Fault>> faults() {
+      return Schedules.faults(1000, 24_000);
+    }
+
+    @Provide
+    Arbitrary<FakeFleet.Weather> weather() {
+      return Schedules.weather();
+    }
+
+    @Provide
+    Arbitrary<Organisation> organisations() {
+      return Arbitraries.of(
+          organisation(100, 30), organisation(40, 200), organisation(50, 2), organisation(20, 1));
+    }
+
+    @Property(seed = "7301", tries = 60)
+    void neverExceedsRateAndBurstOverAllInstances(
+        @ForAll long seed,
+        @ForAll("weather") FakeFleet.Weather weather,
+        @ForAll("faults") List<Schedules.Fault> faults,
+        @ForAll("organisations") Organisation organisation) {
+      Tally[] tally = new Tally[1];
+      FakeFleet fleet = fleet(seed, weather, organisation, tally);
+      faults.forEach(fault -> Schedules.apply(fleet, fault));
+      Random random = new Random(seed);
+      double perSecond = organisation.rate() * 3;
+      for (double at = 0;
+          at < 30_000;
+          at += -Math.log(1 - random.nextDouble()) * 1000 / perSecond) {
+        arriveAt(fleet, (long) at, unevenNode(random, (long) at), "r" + at);
+      }
+      fleet.runUntil(30_000);
+      assertThat(tally[0].greatestBurst(organisation.rate()))
+          .isAtMost(organisation.burst() + 0.001 + organisation.rate() / 1000);
+    }
+  }
+
+  @Group
+  class NoFailure {
+    @Provide
+    Arbitrary<Organisation> organisations() {
+      return Arbitraries.of(
+          organisation(100, 30), organisation(60, 200), organisation(50, 5), organisation(20, 2));
+    }
+
+    @Property(seed = "7302", tries = 24)
+    void refusesNothingInsideTheRate(
+        @ForAll long seed, @ForAll("organisations") Organisation organisation) {
+      Tally[] tally = new Tally[1];
+      FakeFleet fleet = fleet(seed, new FakeFleet.Weather(0, 0, 3), organisation, tally);
+      int offered = offerInsideRate(fleet, organisation, new Random(seed));
+      fleet.runUntil(40_000);
+      assertWithMessage("refusals").that(tally[0].refusals).isEmpty();
+      assertThat(tally[0].admittedMillis).hasSize(offered);
+    }
+
+    @Property(seed = "7303", tries = 12)
+    void refusesNothingWhileInstancesLeaveAndJoin(
+        @ForAll long seed, @ForAll("organisations") Organisation organisation) {
+      Tally[] tally = new Tally[1];
+      FakeFleet fleet = fleet(seed, new FakeFleet.Weather(0, 0, 3), organisation, tally);
+      fleet.at(16_000, () -> fleet.start("a0", "a", node -> new RateProcess(node, tally[0])));
+      fleet.at(24_000, () -> fleet.start("b0", "b", node -> new RateProcess(node, tally[0])));
+      int offered = offerInsideRate(fleet, organisation, new Random(seed));
+      fleet.runUntil(40_000);
+      assertWithMessage("refusals").that(tally[0].refusals).isEmpty();
+      assertThat(tally[0].admittedMillis).hasSize(offered);
+    }
+
+    private int offerInsideRate(FakeFleet fleet, Organisation organisation, Random random) {
+      double level = 0;
+      int offered = 0;
+      for (long at = WARM_UP_MILLIS; at < 35_000; at++) {
+        level = Math.min(organisation.burst(), level + organisation.rate() / 1000);
+        boolean gathering = at / 1500 % 3 == 0;
+        while (level >= 1 && !gathering) {
+          level--;
+          arriveAt(fleet, at, unevenNode(random, at), "r" + offered++);
+        }
+      }
+      return offered;
+    }
+  }
+}
