--- a/core/src/main/java/org/bergamotcross/core/admission/RateHolder.java
+++ b/core/src/main/java/org/bergamotcross/core/admission/RateHolder.java
@@ -56,7 +56,7 @@
   private final Map<OrganisationId, TokenHandover> early = new HashMap<>();
   // Organisations that a lagging instance may still know, with the offset of their removal.
   private final Map<OrganisationId, Long> removed = new HashMap<>();
-  private long historySince = Long.MAX_VALUE;
+  private long historySince = Configuration.EMPTY.offset();
   private RateShares shares = RateShares.NONE;
   private Optional<Now> freshUntil = Optional.empty();
 
--- /dev/null
+++ b/core/src/test/java/org/bergamotcross/core/admission/ClaimRulesTest.java
@@ -0,0 +1,154 @@
+package org.bergamotcross.core.admission;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.bergamotcross.core.config.OrganisationId;
+import org.bergamotcross.core.membership.FailureDomain;
+import org.bergamotcross.core.membership.InstanceId;
+import org.bergamotcross.core.membership.Member;
+import org.bergamotcross.core.membership.Members;
+import org.bergamotcross.kernel.Now;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Guards against claims that are forgotten, granted twice, or acted on too late. */
+class ClaimRulesTest {
+  private static final Now START = Now.ofMillis(1000);
+  private static final OrganisationId ORGANISATION = new OrganisationId("t/o");
+
+  private final ClaimTable table = new ClaimTable(2, 100);
+
+  private ClaimVerdict claim(String key, String attempt, Now now) {
+    return table.claim(new ClaimAsk("t/o", key, 1, attempt), now);
+  }
+
+  private void end(String key, String attempt, ClaimState state, int bytes, Now now) {
+    StoredAnswer answer = new StoredAnswer(200, "", new byte[bytes]);
+    table.end(new ClaimOutcome("t/o", key, attempt, state.text(), Optional.of(answer)), state, now);
+  }
+
+  private static ClaimVerdict exists(ClaimState state) {
+    return new ClaimVerdict.Exists(state, Optional.empty());
+  }
+
+  @Nested
+  class Table {
+    @Test
+    void keepsAClaimTenMinutesAfterItsLastChange() {
+      assertThat(claim("k", "1", START)).isEqualTo(new ClaimVerdict.Granted());
+      Now ended = START.plus(Duration.ofMinutes(1));
+      end("k", "1", ClaimState.UNKNOWN, 200, ended);
+      Now last = ended.plus(Duration.ofMinutes(10)).plus(Duration.ofMillis(-1));
+      table.expire(last);
+      assertThat(claim("k", "2", last)).isEqualTo(exists(ClaimState.UNKNOWN));
+      assertThat(claim("k", "2", ended.plus(Duration.ofMinutes(10))))
+          .isEqualTo(new ClaimVerdict.Granted());
+    }
+
+    @Test
+    void refusesAClaimWhenItIsFullAndDropsNone() {
+      claim("k1", "1", START);
+      claim("k2", "2", START);
+      assertThat(claim("k3", "3", START)).isEqualTo(new ClaimVerdict.Full());
+      assertThat(claim("k1", "4", START)).isEqualTo(exists(ClaimState.GRANTED));
+    }
+
+    @Test
+    void keepsAnswersOnlyWithinItsBytes() {
+      claim("k1", "1", START);
+      claim("k2", "2", START);
+      end("k1", "1", ClaimState.RUN, 80, START);
+      end("k2", "2", ClaimState.RUN, 80, START);
+      assertThat(((ClaimVerdict.Exists) claim("k1", "3", START)).answer()).isPresent();
+      assertThat(claim("k2", "3", START)).isEqualTo(exists(ClaimState.RUN));
+    }
+
+    @Test
+    void refusesALateAskOfAnAttemptThatWasReleased() {
+      end("k", "1", ClaimState.RELEASED, 200, START);
+      assertThat(claim("k", "1", START)).isEqualTo(exists(ClaimState.RELEASED));
+      assertThat(claim("k", "2", START)).isEqualTo(new ClaimVerdict.Granted());
+      assertThat(claim("k", "1", START)).isEqualTo(exists(ClaimState.GRANTED));
+    }
+
+    @Test
+    void grantsNoAttemptAgainWhenAnotherHolderGrantedADifferentOne() {
+      claim("k", "1", START);
+      ClaimSyncAnswer.Entry other =
+          new ClaimSyncAnswer.Entry("k", "2", "granted", 0, Optional.empty());
+      assertThat(table.merge("t/o", other, ClaimState.GRANTED, START)).isTrue();
+      assertThat(claim("k", "1", START)).isEqualTo(exists(ClaimState.UNKNOWN));
+      assertThat(claim("k", "2", START)).isEqualTo(exists(ClaimState.UNKNOWN));
+    }
+
+    @Test
+    void doesNotGrantAMergedAttemptAgain() {
+      ClaimSyncAnswer.Entry other =
+          new ClaimSyncAnswer.Entry("k", "2", "granted", 0, Optional.empty());
+      table.merge("t/o", other, ClaimState.GRANTED, START);
+      assertThat(claim("k", "2", START)).isEqualTo(exists(ClaimState.GRANTED));
+    }
+  }
+
+  @Nested
+  class Coordinator {
+    private final Now deadline = START.plus(Duration.ofSeconds(2));
+    private final ClaimCoordinator coordinator =
+        new ClaimCoordinator("1", ORGANISATION, "key", deadline, START);
+
+    private Members members(long epoch) {
+      List<Member> list =
+          List.of("a", "b", "c").stream()
+              .map(id -> new Member(new InstanceId(id), 1, new FailureDomain(id), ""))
+              .toList();
+      return new Members(epoch, list);
+    }
+
+    private void answer(String holder, long epoch, ClaimVerdict verdict) {
+      ClaimAsk ask = new ClaimAsk("t/o", ClaimAsk.key(ORGANISATION, "key"), epoch, "1");
+      coordinator.onAnswer(new InstanceId(holder), ClaimAnswer.of(ask, verdict));
+    }
+
+    @Test
+    void doesNotSendWhenItWasPausedPastTheDeadline() {
+      coordinator.asks(members(1), START);
+      answer("a", 1, new ClaimVerdict.Granted());
+      answer("b", 1, new ClaimVerdict.Granted());
+      assertThat(coordinator.decide(true, deadline))
+          .hasValue(new ClaimDecision.Refuse(new Refusal.DeadlineBeforeSend()));
+    }
+
+    @Test
+    void doesNotSendWhileItIsNotFresh() {
+      coordinator.asks(members(1), START);
+      answer("a", 1, new ClaimVerdict.Granted());
+      answer("b", 1, new ClaimVerdict.Granted());
+      assertThat(coordinator.decide(false, START)).isEmpty();
+      assertThat(coordinator.decide(true, START)).hasValue(new ClaimDecision.Send());
+      assertThat(coordinator.decide(true, START)).isEmpty();
+    }
+
+    @Test
+    void doesNotCountGrantsOfTwoEpochsTogether() {
+      coordinator.asks(members(1), START);
+      answer("a", 1, new ClaimVerdict.Granted());
+      coordinator.asks(members(2), START);
+      answer("b", 2, new ClaimVerdict.Granted());
+      answer("c", 1, new ClaimVerdict.Granted());
+      assertThat(coordinator.decide(true, START)).isEmpty();
+    }
+
+    @Test
+    void saysUnknownWhenOneHolderKnowsAnotherAttempt() {
+      coordinator.asks(members(1), START);
+      answer("a", 1, exists(ClaimState.GRANTED));
+      answer("b", 1, new ClaimVerdict.Granted());
+      answer("c", 1, new ClaimVerdict.NotReady());
+      assertThat(coordinator.decide(true, deadline))
+          .hasValue(new ClaimDecision.Refuse(new Refusal.AlreadyClaimed(Outcome.UNKNOWN)));
+    }
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/bergamotcross/core/admission/RateHolderTest.java
@@ -0,0 +1,115 @@
+package org.bergamotcross.core.admission;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.bergamotcross.core.config.Configuration;
+import org.bergamotcross.core.config.Organisation;
+import org.bergamotcross.core.config.OrganisationId;
+import org.bergamotcross.core.config.TeamSettings;
+import org.bergamotcross.core.membership.FailureDomain;
+import org.bergamotcross.core.membership.InstanceId;
+import org.bergamotcross.core.membership.Member;
+import org.bergamotcross.core.membership.Members;
+import org.bergamotcross.kernel.Now;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a bucket that serves while another instance can still use the same part. */
+class RateHolderTest {
+  private static final InstanceId SELF = new InstanceId("a");
+  private static final Now START = Now.ofMillis(1000);
+
+  private final OffsetQuorum quorum = new OffsetQuorum(SELF);
+  private final RateHolder holder = new RateHolder(SELF, 1, quorum);
+
+  private static Configuration configuration(long offset, boolean known, long incarnation) {
+    Organisation organisation = new Organisation(new OrganisationId("t/o"), 100, 50);
+    List<Organisation> all = known ? List.of(organisation) : List.of();
+    TeamSettings team = new TeamSettings("t", all, List.of(), List.of(), List.of());
+    Member member = new Member(SELF, incarnation, new FailureDomain("d"), "");
+    return Configuration.of(offset, Map.of("t", team), Set.of(), new Members(1, List.of(member)));
+  }
+
+  private void configure(Configuration configuration, Now now) {
+    quorum.configure(configuration);
+    assertThat(holder.configure(configuration, now)).isEmpty();
+    holder.tick(now);
+  }
+
+  private double granted(Now now) {
+    holder.tick(now);
+    TokenAsk ask = new TokenAsk(9, now.monotonicNanos(), "t/o", 5, 5, false, List.of());
+    return holder.onAsk(new InstanceId("b"), ask, now).orElseThrow().amount();
+  }
+
+  @Nested
+  class Gained {
+    @Test
+    void partServesOnlyAfterThePredecessorsLastGrantsEnded() {
+      holder.freshUntil(START.plus(Duration.ofMinutes(1)));
+      configure(configuration(5, true, 1), START);
+      Now ready = START.plus(Duration.ofSeconds(3)).plus(TokenBucket.LOAN);
+      assertThat(granted(ready.plus(Duration.ofMillis(-1)))).isEqualTo(0.0);
+      assertThat(granted(ready)).isEqualTo(0.0);
+      assertThat(granted(ready.plus(Duration.ofMillis(30)))).isEqualTo(3.0);
+    }
+
+    @Test
+    void organisationThatIsNewIsServedAtOnce() {
+      holder.freshUntil(START.plus(Duration.ofMinutes(1)));
+      configure(configuration(5, false, 1), START);
+      Now later = START.plus(Duration.ofSeconds(10));
+      holder.tick(later);
+      configure(configuration(6, true, 1), later);
+      assertThat(granted(later.plus(Duration.ofMillis(30)))).isEqualTo(3.0);
+    }
+  }
+
+  @Nested
+  class OtherProcess {
+    @Test
+    void doesNotServeAsItsPredecessorWithTheSameId() {
+      holder.freshUntil(START.plus(Duration.ofMinutes(1)));
+      configure(configuration(5, true, 2), START);
+      assertThat(granted(START.plus(Duration.ofSeconds(20)))).isEqualTo(0.0);
+    }
+  }
+
+  @Nested
+  class NotFresh {
+    @Test
+    void grantsNothing() {
+      holder.freshUntil(START.plus(Duration.ofSeconds(10)));
+      configure(configuration(5, true, 1), START);
+      holder.tick(START.plus(Duration.ofSeconds(9)));
+      assertThat(granted(START.plus(Duration.ofMillis(9_900)))).isEqualTo(5.0);
+      assertThat(granted(START.plus(Duration.ofSeconds(10)))).isEqualTo(0.0);
+    }
+  }
+
+  @Nested
+  class Resized {
+    @Test
+    void bucketKeepsItsLevel() {
+      TokenBucket bucket = new TokenBucket(10, 10, START);
+      bucket.resize(10, 100, START);
+      assertThat(bucket.level()).isEqualTo(0.0);
+    }
+
+    @Test
+    void bucketDoesNotFillWhileItsTokensAreOut() {
+      TokenBucket bucket = new TokenBucket(10, 10, START);
+      Now full = START.plus(Duration.ofSeconds(1));
+      TokenAsk ask = new TokenAsk(1, 1, "t/o", 10, 10, false, List.of());
+      TokenBucket.LoanKey key = new TokenBucket.LoanKey(SELF, 1, 1);
+      assertThat(bucket.grant(key, ask, full)).isEqualTo(10.0);
+      // The loan ends 1250 ms later; only then does the bucket fill.
+      bucket.refill(full.plus(Duration.ofMillis(1350)));
+      assertThat(bucket.level()).isWithin(1e-6).of(1.0);
+    }
+  }
+}
