--- /dev/null
+++ b/bench/src/main/java/org/bergamotcross/bench/ExchangeSlopes.java
@@ -0,0 +1,143 @@
+package org.bergamotcross.bench;
+
+import com.codahale.metrics.MetricRegistry;
+import java.lang.management.ManagementFactory;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.locks.LockSupport;
+import org.bergamotcross.core.config.Configuration;
+import org.bergamotcross.core.membership.FailureDomain;
+import org.bergamotcross.core.membership.InstanceId;
+import org.bergamotcross.core.membership.Member;
+import org.bergamotcross.core.membership.Members;
+import org.bergamotcross.entry.ActorSystemPlugin;
+import org.bergamotcross.entry.Broadcasts;
+import org.bergamotcross.entry.PeerExchange;
+import org.bergamotcross.entry.peer.ExchangePlugin;
+import org.bergamotcross.kernel.Kernel;
+import org.bergamotcross.kernel.Plugin;
+import org.bergamotcross.kernel.PluginStartException;
+import org.bergamotcross.kernel.Settings;
+import org.bergamotcross.kernel.SettingsResult;
+import org.bergamotcross.kernel.TimeSource;
+
+/**
+ * Measures what the exchange costs with a growing number of peers, all connected to all.
+ *
+ * <p>Prints bytes and frames per second and peer, and processor time per frame, sending and
+ * receiving together. All instances run in this process, each one with its own sockets.
+ */
+public final class ExchangeSlopes {
+  private static final int FIRST_PORT = 21_000;
+  private static final Duration WARM_UP = Duration.ofSeconds(10);
+  private static final Duration MEASURED = Duration.ofSeconds(10);
+
+  private ExchangeSlopes() {}
+
+  /**
+   * Runs the measurement; takes no arguments.
+   *
+   * @param args ignored
+   * @throws PluginStartException if a port is in use
+   */
+  public static void main(String[] args) throws PluginStartException {
+    System.out.println(
+        "| instances | frames/s per peer | bytes/s per peer | CPU us per frame | CPU ms/s per instance |"
+            + " bytes/s per instance |");
+    System.out.println("| --- | --- | --- | --- | --- | --- |");
+    for (int instances : new int[] {4, 2, 8, 16, 32}) {
+      measure(instances);
+    }
+  }
+
+  private static void measure(int instances) throws PluginStartException {
+    List<Kernel> kernels = new ArrayList<>();
+    try {
+      for (int i = 0; i < instances; i++) {
+        Kernel kernel = kernel(i);
+        kernels.add(kernel);
+        kernel.start();
+      }
+      Configuration configuration = configuration(kernels);
+      kernels.forEach(k -> k.context().publish(Broadcasts.CONFIGURATION, configuration));
+      park(WARM_UP);
+      long frames = count(kernels, "peer.frames-sent");
+      long bytes = count(kernels, "peer.bytes-sent");
+      long cpu = cpuNanos();
+      park(MEASURED);
+      frames = count(kernels, "peer.frames-sent") - frames;
+      bytes = count(kernels, "peer.bytes-sent") - bytes;
+      cpu = cpuNanos() - cpu;
+      double links = (double) instances * (instances - 1);
+      double seconds = MEASURED.toSeconds();
+      System.out.printf(
+          Locale.ROOT,
+          "| %d | %.2f | %.0f | %.1f | %.1f | %.0f |%n",
+          instances,
+          frames / links / seconds,
+          bytes / links / seconds,
+          cpu / 1_000.0 / frames,
+          cpu / 1_000_000.0 / seconds / instances,
+          bytes / seconds / instances);
+    } finally {
+      kernels.forEach(Kernel::close);
+    }
+  }
+
+  private static Kernel kernel(int index) {
+    List<Plugin> plugins = List.of(new ActorSystemPlugin(), new ExchangePlugin());
+    String text =
+        "[instance]\nid = entry-%d\nfailure-domain = d%d\n[listen]\npeers = %s\n"
+            .formatted(index, index % 3, address(index));
+    SettingsResult result =
+        Settings.parse("entry.ini", text, Kernel.settingsOf(plugins), Kernel.rulesOf(plugins));
+    return switch (result) {
+      case SettingsResult.Loaded loaded ->
+          new Kernel(plugins, loaded.settings(), TimeSource.system());
+      case SettingsResult.Rejected rejected ->
+          throw new IllegalStateException(rejected.problems().toString());
+    };
+  }
+
+  private static Configuration configuration(List<Kernel> kernels) {
+    List<Member> members = new ArrayList<>();
+    for (int i = 0; i < kernels.size(); i++) {
+      long incarnation =
+          kernels.get(i).context().service(PeerExchange.class).orElseThrow().incarnation();
+      members.add(
+          new Member(
+              new InstanceId("entry-" + i),
+              incarnation,
+              new FailureDomain("d" + i % 3),
+              address(i)));
+    }
+    return Configuration.of(0, Map.of(), Set.of(), new Members(0, members));
+  }
+
+  private static String address(int index) {
+    return "127.0.0.1:" + (FIRST_PORT + index);
+  }
+
+  private static long count(List<Kernel> kernels, String meter) {
+    return kernels.stream()
+        .map(kernel -> kernel.context().metrics())
+        .mapToLong((MetricRegistry metrics) -> metrics.meter(meter).getCount())
+        .sum();
+  }
+
+  private static long cpuNanos() {
+    return ManagementFactory.getPlatformMXBean(com.sun.management.OperatingSystemMXBean.class)
+        .getProcessCpuTime();
+  }
+
+  private static void park(Duration duration) {
+    long end = System.nanoTime() + duration.toNanos();
+    while (end - System.nanoTime() > 0) {
+      LockSupport.parkNanos(end - System.nanoTime());
+    }
+  }
+}
--- a/entry/src/main/java/org/bergamotcross/entry/ActorSystemPlugin.java
+++ b/entry/src/main/java/org/bergamotcross/entry/ActorSystemPlugin.java
@@ -41,6 +41,7 @@
     return ConfigFactory.parseString(
             """
             pekko.loglevel = WARNING
+            pekko.scheduler.tick-duration = 50ms
             pekko.log-dead-letters = off
             pekko.coordinated-shutdown.run-by-jvm-shutdown-hook = off
             pekko.coordinated-shutdown.exit-jvm = off
--- a/entry/src/main/java/org/bergamotcross/entry/peer/PeerLink.java
+++ b/entry/src/main/java/org/bergamotcross/entry/peer/PeerLink.java
@@ -1,5 +1,6 @@
 package org.bergamotcross.entry.peer;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteOrder;
 import java.time.Duration;
@@ -103,6 +104,7 @@
 
   @Override
   public void close() {
-    killSwitch.shutdown();
+    // Completing a connection that is still being opened fails inside Pekko; aborting it does not.
+    killSwitch.abort(new IOException("link closed"));
   }
 }
