--- /dev/null
+++ b/entry/src/main/java/org/bergamotcross/entry/platform/PekkoPlatformClient.java
@@ -0,0 +1,288 @@
+package org.bergamotcross.entry.platform;
+
+import static java.util.concurrent.TimeUnit.MILLISECONDS;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import com.typesafe.config.Config;
+import com.typesafe.config.ConfigFactory;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeoutException;
+import org.apache.pekko.actor.ActorSystem;
+import org.apache.pekko.http.javadsl.Http;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+import org.apache.pekko.http.javadsl.settings.ClientConnectionSettings;
+import org.apache.pekko.http.javadsl.settings.ConnectionPoolSettings;
+import org.apache.pekko.stream.StreamTcpException;
+import org.apache.pekko.util.ByteString;
+import scala.concurrent.duration.FiniteDuration;
+
+/**
+ * Talks HTTP/JSON with the platform through Pekko HTTP.
+ *
+ * <p>The client repeats nothing by itself: a repeated append would be another record, and a caller
+ * that repeats decides with what it knows. Each request ends within its time limit.
+ */
+public final class PekkoPlatformClient implements PlatformClient {
+  // Failure domains are about 1 ms apart, so a second is enough to call a connection dead.
+  private static final long CONNECT_LIMIT_MS = 1_000;
+  private static final Duration ANSWER_LIMIT = Duration.ofSeconds(2);
+  // Ends connections of requests that were given up; longer than the longest read.
+  private static final long IDLE_LIMIT_MS = 6_000;
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private final ActorSystem system;
+  private final Http http;
+  private final ConnectionPoolSettings pool;
+  private final String base;
+  private final RawHeader instance;
+  private final Runnable onClose;
+
+  private record Answer(int status, ByteString body) {}
+
+  private PekkoPlatformClient(
+      ActorSystem system, InetSocketAddress address, String instanceId, Runnable onClose) {
+    this.onClose = onClose;
+    this.system = system;
+    this.http = Http.get(system);
+    this.pool = poolSettings(system);
+    this.base = "http://" + address.getAddress().getHostAddress() + ":" + address.getPort();
+    this.instance = RawHeader.create("X-Instance", instanceId);
+  }
+
+  /**
+   * Creates a client on the threads of an actor system; no connection is made yet.
+   *
+   * @param system the actor system, which is closed after the client
+   * @param address the address of the platform
+   * @param instanceId the name sent with each request
+   * @return the client; closing it leaves the actor system open
+   */
+  public static PlatformClient over(
+      ActorSystem system, InetSocketAddress address, String instanceId) {
+    return new PekkoPlatformClient(system, address, instanceId, () -> {});
+  }
+
+  /**
+   * Creates a client with an actor system of its own, for programs that have none.
+   *
+   * @param address the address of the platform
+   * @param instanceId the name sent with each request, for example of the user
+   * @return the client; closing it ends its threads
+   */
+  public static PlatformClient open(InetSocketAddress address, String instanceId) {
+    Config quiet =
+        ConfigFactory.parseMap(
+            Map.of(
+                "pekko.daemonic", "on",
+                "pekko.loglevel", "OFF",
+                "pekko.stdout-loglevel", "OFF",
+                "pekko.coordinated-shutdown.run-by-jvm-shutdown-hook", "off"));
+    ActorSystem system =
+        ActorSystem.create("platform-client", quiet.withFallback(ConfigFactory.load()));
+    return new PekkoPlatformClient(system, address, instanceId, system::terminate);
+  }
+
+  private static ConnectionPoolSettings poolSettings(ActorSystem system) {
+    return ConnectionPoolSettings.create(system)
+        .withMaxRetries(0)
+        .withMinConnections(0)
+        .withMaxConnections(16)
+        .withMaxOpenRequests(64)
+        // The pool's own back-off would keep requests waiting after an outage has ended.
+        .withBaseConnectionBackoff(FiniteDuration.create(50, MILLISECONDS))
+        .withMaxConnectionBackoff(FiniteDuration.create(200, MILLISECONDS))
+        .withConnectionSettings(
+            ClientConnectionSettings.create(system)
+                .withConnectingTimeout(FiniteDuration.create(CONNECT_LIMIT_MS, MILLISECONDS))
+                .withIdleTimeout(FiniteDuration.create(IDLE_LIMIT_MS, MILLISECONDS)));
+  }
+
+  @Override
+  public CompletionStage<AppendResult> append(String stream, byte[] data) {
+    HttpRequest request =
+        HttpRequest.POST(base + "/streams/" + stream + "/records")
+            .withEntity(ContentTypes.APPLICATION_OCTET_STREAM, data);
+    return send(request, ANSWER_LIMIT)
+        .thenApply(PekkoPlatformClient::appendResult)
+        .exceptionally(PekkoPlatformClient::appendFailure);
+  }
+
+  @Override
+  public CompletionStage<ReadResult> read(String stream, long from, int max, Duration wait) {
+    String query = "?from=" + from + "&max=" + max + "&waitMs=" + wait.toMillis();
+    HttpRequest request = HttpRequest.GET(base + "/streams/" + stream + "/records" + query);
+    return send(request, ANSWER_LIMIT.plus(wait))
+        .thenApply(PekkoPlatformClient::readResult)
+        .exceptionally(failure -> new ReadResult.Unavailable(reason(failure)));
+  }
+
+  @Override
+  public CompletionStage<ListResult> instances() {
+    return send(HttpRequest.GET(base + "/instances"), ANSWER_LIMIT)
+        .thenApply(PekkoPlatformClient::listResult)
+        .exceptionally(failure -> new ListResult.Unavailable(reason(failure)));
+  }
+
+  private CompletableFuture<Answer> send(HttpRequest request, Duration limit) {
+    return http.singleRequest(
+            request.addHeader(instance), http.defaultClientHttpsContext(), pool, system.log())
+        .thenCompose(r -> strict(r, limit))
+        .toCompletableFuture()
+        .orTimeout(limit.toMillis(), MILLISECONDS);
+  }
+
+  private CompletionStage<Answer> strict(HttpResponse response, Duration limit) {
+    return response
+        .entity()
+        .toStrict(limit.toMillis(), system)
+        .thenApply(entity -> new Answer(response.status().intValue(), entity.getData()));
+  }
+
+  private static AppendResult appendResult(Answer answer) {
+    int status = answer.status();
+    if (status >= 200 && status < 300) {
+      return whole(json(answer.body()), "offset")
+          .<AppendResult>map(AppendResult.Appended::new)
+          .orElseGet(() -> new AppendResult.OutcomeUnknown("an answer without an offset"));
+    }
+    if (status >= 400 && status < 500) {
+      return new AppendResult.Refused(status, "HTTP status " + status);
+    }
+    // 503 is the log's own word that it takes no appends; any other failure may come too late.
+    return status == 503
+        ? new AppendResult.Unavailable("HTTP status 503")
+        : new AppendResult.OutcomeUnknown("HTTP status " + status);
+  }
+
+  private static AppendResult appendFailure(Throwable failure) {
+    Throwable cause = cause(failure);
+    // A connection that was never made has carried no byte of the record.
+    boolean unsent =
+        cause instanceof StreamTcpException
+            && String.valueOf(cause.getMessage()).contains("Connect(");
+    return unsent
+        ? new AppendResult.Unavailable(reason(failure))
+        : new AppendResult.OutcomeUnknown(reason(failure));
+  }
+
+  private static ReadResult readResult(Answer answer) {
+    JsonNode body = json(answer.body());
+    Optional<Long> earliest = whole(body, "earliest");
+    if (answer.status() == 410 && earliest.isPresent()) {
+      return new ReadResult.Gone(earliest.get());
+    }
+    Optional<Long> next = whole(body, "next");
+    if (answer.status() != 200 || earliest.isEmpty() || next.isEmpty()) {
+      return new ReadResult.Unavailable(unexpected(answer));
+    }
+    return records(body.path("records"))
+        .<ReadResult>map(records -> new ReadResult.Page(earliest.get(), next.get(), records))
+        .orElseGet(() -> new ReadResult.Unavailable(unexpected(answer)));
+  }
+
+  // One damaged entry spoils the page, because a reader must not step over a record it never saw.
+  private static Optional<List<LogRecord>> records(JsonNode array) {
+    if (!array.isArray()) {
+      return Optional.empty();
+    }
+    List<LogRecord> records = new ArrayList<>(array.size());
+    for (JsonNode entry : array) {
+      Optional<Long> offset = whole(entry, "offset");
+      try {
+        byte[] data = entry.path("data").binaryValue();
+        if (offset.isEmpty() || data == null) {
+          return Optional.empty();
+        }
+        records.add(new LogRecord(offset.get(), data));
+      } catch (IOException e) {
+        return Optional.empty();
+      }
+    }
+    return Optional.of(records);
+  }
+
+  private static ListResult listResult(Answer answer) {
+    JsonNode array = json(answer.body()).path("instances");
+    if (answer.status() != 200 || !array.isArray()) {
+      return new ListResult.Unavailable(unexpected(answer));
+    }
+    List<ListedInstance> instances = new ArrayList<>(array.size());
+    // An entry of another kind or state concerns nobody here, so it does not spoil the list.
+    array.forEach(entry -> listed(entry).ifPresent(instances::add));
+    return new ListResult.Listed(instances);
+  }
+
+  private static Optional<ListedInstance> listed(JsonNode entry) {
+    Optional<ListedInstance.Kind> kind =
+        switch (entry.path("kind").asText()) {
+          case "entry" -> Optional.of(ListedInstance.Kind.ENTRY);
+          case "target" -> Optional.of(ListedInstance.Kind.TARGET);
+          default -> Optional.empty();
+        };
+    Optional<ListedInstance.State> state =
+        switch (entry.path("state").asText()) {
+          case "live" -> Optional.of(ListedInstance.State.LIVE);
+          case "leaving" -> Optional.of(ListedInstance.State.LEAVING);
+          default -> Optional.empty();
+        };
+    return kind.flatMap(
+        k ->
+            state.map(
+                s ->
+                    new ListedInstance(
+                        entry.path("id").asText(),
+                        k,
+                        s,
+                        entry.path("address").asText(),
+                        entry.path("failureDomain").asText())));
+  }
+
+  private static JsonNode json(ByteString body) {
+    try {
+      return MAPPER.readTree(body.toArrayUnsafe());
+    } catch (IOException e) {
+      return MissingNode.getInstance();
+    }
+  }
+
+  private static Optional<Long> whole(JsonNode node, String field) {
+    JsonNode value = node.path(field);
+    return value.isIntegralNumber() ? Optional.of(value.longValue()) : Optional.empty();
+  }
+
+  private static String unexpected(Answer answer) {
+    return answer.status() == 200
+        ? "an answer that is not in the published format"
+        : "HTTP status " + answer.status();
+  }
+
+  private static Throwable cause(Throwable failure) {
+    return failure instanceof CompletionException && failure.getCause() != null
+        ? failure.getCause()
+        : failure;
+  }
+
+  private static String reason(Throwable failure) {
+    Throwable cause = cause(failure);
+    return cause instanceof TimeoutException ? "no answer in time" : String.valueOf(cause);
+  }
+
+  @Override
+  public void close() {
+    onClose.run();
+  }
+}
