Add the fold of the log and the config duty

Cause: every instance needs the same configuration, members and freshness from the log, and from peers when it can't read the log. Ruled out: deciding acceptance by seen edit ids alone, because their set has to be bounded; the version of a path refuses a forgotten repeat by itself. Publishing for each record, because a page of 256 records would rebuild the configuration 256 times.

--- /dev/null
+++ b/core/src/test/java/org/bergamotcross/core/config/ConfigurationFoldTest.java
@@ -0,0 +1,165 @@
+package org.bergamotcross.core.config;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.bergamotcross.core.config.FoldFixture.edit;
+import static org.bergamotcross.core.config.FoldFixture.member;
+import static org.bergamotcross.core.config.FoldFixture.withdraw;
+
+import java.util.Optional;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Guards against edits that are lost, accepted twice or undone. */
+class ConfigurationFoldTest {
+  private final ConfigurationFold fold = FoldFixture.fold();
+  private long next;
+
+  private FoldResult append(ControlRecord record) {
+    return fold.apply(next++, record);
+  }
+
+  private boolean hasKey(String key) {
+    return fold.configuration().key(new KeyHash(key)).isPresent();
+  }
+
+  @Nested
+  class RacingEdits {
+    // The loser has to learn who won, and the order of the log alone decides.
+    @Test
+    void areAcceptedOnceInEachOrder() {
+      for (String[] order : new String[][] {{"a", "b"}, {"b", "a"}}) {
+        ConfigurationFold readers = FoldFixture.fold();
+        assertThat(readers.apply(0, edit(order[0], "fuel", -1, "k-" + order[0])))
+            .isInstanceOf(FoldResult.Accepted.class);
+        assertThat(readers.apply(1, edit(order[1], "fuel", -1, "k-" + order[1])))
+            .isEqualTo(
+                new FoldResult.Conflict(
+                    Optional.of(new EditReference(order[0], "author-" + order[0], 0))));
+        assertThat(readers.configuration().key(new KeyHash("k-" + order[0]))).isPresent();
+        assertThat(readers.configuration().key(new KeyHash("k-" + order[1]))).isEmpty();
+      }
+    }
+
+    @Test
+    void ofTwoTeamsAreBothAccepted() {
+      append(edit("a", "fuel", -1, "k1"));
+      assertThat(append(edit("b", "glass", -1, "k2"))).isInstanceOf(FoldResult.Accepted.class);
+      assertThat(fold.versions()).containsExactly("fuel", 0L, "glass", 1L);
+    }
+  }
+
+  @Nested
+  class RepeatedAppends {
+    @Test
+    void areToldAsDuplicates() {
+      ControlRecord.Edit edit = edit("a", "fuel", -1, "k1");
+      append(edit);
+      assertThat(append(edit))
+          .isEqualTo(new FoldResult.Duplicate(new EditReference("a", "author-a", 0)));
+      assertThat(fold.versions()).containsExactly("fuel", 0L);
+    }
+
+    // An edit that was refused must not come into force later without its author.
+    @Test
+    void ofARefusedEditStayRefused() {
+      append(edit("a", "fuel", -1, "shared"));
+      ControlRecord.Edit refused = edit("b", "glass", -1, "shared");
+      assertThat(append(refused)).isInstanceOf(FoldResult.Invalid.class);
+      append(edit("c", "fuel", 0, "other"));
+      assertThat(append(refused)).isInstanceOf(FoldResult.Duplicate.class);
+      assertThat(hasKey("shared")).isFalse();
+    }
+
+    // The set of seen ids is bounded; the version must refuse what it has forgotten.
+    @Test
+    void thatAreNoLongerRememberedAreRefused() {
+      ControlRecord.Edit edit = edit("first", "fuel", -1, "k1");
+      append(edit);
+      IntStream.range(0, SeenEdits.CAPACITY + 1)
+          .forEach(i -> append(edit("e" + i, "glass", i == 0 ? -1 : i, "")));
+      assertThat(append(edit)).isInstanceOf(FoldResult.Conflict.class);
+      assertThat(fold.state().seen()).hasSize(SeenEdits.CAPACITY);
+    }
+  }
+
+  @Nested
+  class RefusedEdits {
+    @Test
+    void leaveTheStateAsItIs() {
+      append(edit("a", "fuel", -1, "k1"));
+      ControlRecord invalid = new ControlRecord.Edit("b", "/teams/fuel", 0, "x", "no content");
+      assertThat(append(invalid)).isInstanceOf(FoldResult.Invalid.class);
+      ControlRecord otherTeam = new ControlRecord.Edit("c", "/teams/fuel", 0, "x", "glass:k2");
+      assertThat(append(otherTeam)).isInstanceOf(FoldResult.Invalid.class);
+      ControlRecord otherPath = new ControlRecord.Edit("d", "/pools/fuel", -1, "x", "fuel:k2");
+      assertThat(append(otherPath)).isInstanceOf(FoldResult.Invalid.class);
+      assertThat(hasKey("k1")).isTrue();
+      assertThat(fold.versions()).containsExactly("fuel", 0L);
+      assertThat(fold.offset()).isEqualTo(3);
+    }
+  }
+
+  @Nested
+  class WithdrawnKeys {
+    @Test
+    void stayWithdrawnWhenALaterEditListsThem() {
+      append(edit("a", "fuel", -1, "k1,k2"));
+      append(withdraw("w", "k1"));
+      append(edit("b", "fuel", 0, "k1,k2"));
+      assertThat(hasKey("k1")).isFalse();
+      assertThat(hasKey("k2")).isTrue();
+      assertThat(append(withdraw("w", "k1"))).isInstanceOf(FoldResult.Unchanged.class);
+    }
+
+    @Test
+    void stayWithdrawnWhenTheWithdrawalCameFirst() {
+      append(withdraw("w", "k1"));
+      append(edit("a", "fuel", -1, "k1"));
+      assertThat(hasKey("k1")).isFalse();
+    }
+  }
+
+  @Nested
+  class Offsets {
+    @Test
+    void belowTheFoldedOneHaveNoEffect() {
+      append(edit("a", "fuel", -1, "k1"));
+      append(edit("b", "fuel", 0, "k2"));
+      assertThat(fold.apply(0, edit("a", "fuel", -1, "k1")))
+          .isEqualTo(new FoldResult.AlreadyKnown(1));
+      assertThat(hasKey("k2")).isTrue();
+    }
+
+    @Test
+    void thatAreMissingAreAskedFor() {
+      assertThat(fold.apply(1, withdraw("w", "k"))).isEqualTo(new FoldResult.Gap(0));
+      assertThat(fold.skip(1, "damaged")).isEqualTo(new FoldResult.Gap(0));
+      assertThat(fold.skip(0, "damaged")).isInstanceOf(FoldResult.Invalid.class);
+      assertThat(fold.offset()).isEqualTo(0);
+    }
+  }
+
+  @Nested
+  class Membership {
+    @Test
+    void changesTheEpochOnlyWhenItChanges() {
+      append(new ControlRecord.Join(member("a", 1)));
+      append(new ControlRecord.Join(member("a", 1)));
+      assertThat(fold.members().epoch()).isEqualTo(0);
+      append(new ControlRecord.Join(member("b", 1)));
+      assertThat(fold.members().epoch()).isEqualTo(2);
+    }
+
+    // A late leave or expel of the process before a restart must not remove the one after it.
+    @Test
+    void endsOnlyForTheNamedIncarnation() {
+      append(new ControlRecord.Join(member("a", 2)));
+      append(new ControlRecord.Leave(member("a", 1).id(), 1));
+      append(new ControlRecord.Expel(member("a", 1).id(), 1));
+      assertThat(fold.members().list()).containsExactly(member("a", 2));
+      append(new ControlRecord.Expel(member("a", 2).id(), 2));
+      assertThat(fold.members().list()).isEmpty();
+    }
+  }
+}
--- a/entry/src/main/java/org/bergamotcross/entry/Broadcasts.java
+++ b/entry/src/main/java/org/bergamotcross/entry/Broadcasts.java
@@ -1,6 +1,8 @@
 package org.bergamotcross.entry;
 
+import java.util.Set;
 import org.bergamotcross.core.config.Configuration;
+import org.bergamotcross.core.config.TargetId;
 import org.bergamotcross.core.membership.Member;
 import org.bergamotcross.core.routing.HealthView;
 import org.bergamotcross.kernel.Broadcast;
@@ -23,8 +25,28 @@
   /** The status of all targets; published by the health duty when a status changes. */
   public static final Broadcast<HealthView> HEALTH = new Broadcast<>("health");
 
+  /**
+   * The targets that the instance list shows as leaving; published by the config duty when the set
+   * changes.
+   */
+  public static final Broadcast<LeavingTargets> LEAVING_TARGETS =
+      new Broadcast<>("leaving-targets");
+
   private Broadcasts() {}
 
+  /**
+   * The targets that must get no new work because they leave.
+   *
+   * @param targets the targets
+   */
+  public record LeavingTargets(Set<TargetId> targets) {
+
+    /** Copies the set. */
+    public LeavingTargets {
+      targets = Set.copyOf(targets);
+    }
+  }
+
   /**
    * How long keys, shares and claims may be used.
    *
--- /dev/null
+++ b/entry/src/main/java/org/bergamotcross/entry/EntrySettings.java
@@ -0,0 +1,86 @@
+package org.bergamotcross.entry;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.bergamotcross.kernel.Setting;
+import org.bergamotcross.kernel.SettingProblem;
+import org.bergamotcross.kernel.SettingRule;
+import org.bergamotcross.kernel.Settings;
+
+/** The settings that several plug-ins of an entry instance read. */
+public final class EntrySettings {
+  /** The name of the instance, unique in the fleet. */
+  public static final Setting<String> INSTANCE_ID = Setting.name("instance", "id");
+
+  /** The failure domain in which the instance runs. */
+  public static final Setting<String> FAILURE_DOMAIN = Setting.name("instance", "failure-domain");
+
+  /** Where callers connect. */
+  public static final Setting<InetSocketAddress> CALLERS = Setting.address("listen", "callers");
+
+  /** Where other instances connect. */
+  public static final Setting<InetSocketAddress> PEERS = Setting.address("listen", "peers");
+
+  /** Where operators read health, metrics and status. */
+  public static final Setting<InetSocketAddress> OPERATIONS =
+      Setting.address("listen", "operations");
+
+  /** Where the log and the instance list are served. */
+  public static final Setting<InetSocketAddress> PLATFORM = Setting.address("platform", "address");
+
+  /** The number of messages that a ring holds; half of it is open to new work. */
+  public static final Setting<Integer> RING_CAPACITY =
+      Setting.integer("limits", "ring-capacity", 64, 1_000_000).orDefault("8192");
+
+  /** The number of requests that may wait for a target. */
+  public static final Setting<Integer> QUEUE_CAPACITY =
+      Setting.integer("limits", "queue-capacity", 1, 1_000_000).orDefault("1024");
+
+  /** The largest body of a request, in bytes. */
+  public static final Setting<Integer> MAX_BODY_BYTES =
+      Setting.integer("limits", "max-body-bytes", 0, 256 * 1024 * 1024).orDefault("1048576");
+
+  /** The longest time that a request may take, in ms; claims are safe up to 60 s. */
+  public static final Setting<Integer> MAX_TIMEOUT_MS =
+      Setting.integer("limits", "max-timeout-ms", 1, 60_000).orDefault("30000");
+
+  private EntrySettings() {}
+
+  /**
+   * Returns the check that no two of a set of addresses are the same.
+   *
+   * <p>A plug-in names the addresses that it has declared, because only those have a value.
+   *
+   * @param addresses the addresses, of which the later one of an equal pair is reported
+   * @return the rules, one for each pair
+   */
+  public static List<SettingRule> differentAddresses(List<Setting<InetSocketAddress>> addresses) {
+    List<SettingRule> rules = new ArrayList<>();
+    for (int later = 1; later < addresses.size(); later++) {
+      for (int earlier = 0; earlier < later; earlier++) {
+        Setting<InetSocketAddress> first = addresses.get(earlier);
+        Setting<InetSocketAddress> second = addresses.get(later);
+        rules.add(settings -> different(settings, first, second));
+      }
+    }
+    return rules;
+  }
+
+  private static Optional<SettingProblem> different(
+      Settings settings, Setting<InetSocketAddress> first, Setting<InetSocketAddress> second) {
+    InetSocketAddress address = settings.value(second);
+    if (address.getPort() == 0 || !address.equals(settings.value(first))) {
+      return Optional.empty();
+    }
+    String text = address.getHostString() + ":" + address.getPort();
+    return Optional.of(
+        new SettingProblem(
+            settings.file(),
+            second.section(),
+            second.key(),
+            text + ", the same as [" + first.section() + "] " + first.key(),
+            "an address that nothing else uses"));
+  }
+}
