Add stand-ins for the platform and for targets

Cause: the tests, the quickstart and the benchmarks need a log service, an instance list and targets whose faults can be switched while they run. Ruled out: Pekko HTTP's own connection handling, because it does not tell its user that a caller went away while its request runs (the test of cancellation waited 10 s in vain), and because ending the flow of responses sends a response instead of closing the connection. The listener puts the HTTP layer on a TCP connection that it watches itself.

--- /dev/null
+++ b/standin/src/main/java/org/bergamotcross/standin/HttpListener.java
@@ -0,0 +1,167 @@
+package org.bergamotcross.standin;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.apache.pekko.NotUsed;
+import org.apache.pekko.http.javadsl.Http;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.settings.ServerSettings;
+import org.apache.pekko.stream.KillSwitch;
+import org.apache.pekko.stream.KillSwitches;
+import org.apache.pekko.stream.OverflowStrategy;
+import org.apache.pekko.stream.SharedKillSwitch;
+import org.apache.pekko.stream.TLSProtocol.SessionBytes;
+import org.apache.pekko.stream.TLSProtocol.SslTlsInbound;
+import org.apache.pekko.stream.TLSProtocol.SslTlsOutbound;
+import org.apache.pekko.stream.javadsl.BidiFlow;
+import org.apache.pekko.stream.javadsl.Flow;
+import org.apache.pekko.stream.javadsl.Sink;
+import org.apache.pekko.stream.javadsl.Source;
+import org.apache.pekko.stream.javadsl.TLSPlacebo;
+import org.apache.pekko.stream.javadsl.Tcp;
+import org.apache.pekko.util.ByteString;
+
+/** Accepts HTTP/1.1 connections at one address and can stop and resume doing so. */
+final class HttpListener {
+  private static final int PIPELINE = 4;
+  private static final int BACKLOG = 1024;
+  private static final int READ_AHEAD = 2;
+
+  /** Handles the requests of all connections. */
+  interface Handler {
+
+    /** Answers a request; an empty answer closes the connection without a response. */
+    CompletionStage<Optional<HttpResponse>> handle(long connection, HttpRequest request);
+
+    /** Takes note that a connection has ended, for whatever reason. */
+    void closed(long connection);
+  }
+
+  private final StandinRuntime runtime;
+  private final Handler handler;
+  private final int maxConnections;
+  private final AtomicLong ids = new AtomicLong();
+  private final Map<Long, KillSwitch> open = new ConcurrentHashMap<>();
+  private volatile InetSocketAddress address;
+  private volatile Optional<Tcp.ServerBinding> binding = Optional.empty();
+
+  HttpListener(
+      StandinRuntime runtime, InetSocketAddress address, int maxConnections, Handler handler) {
+    this.runtime = runtime;
+    this.address = address;
+    this.maxConnections = maxConnections;
+    this.handler = handler;
+  }
+
+  /** Binds the address; port 0 is replaced by a free port, which later calls keep. */
+  CompletableFuture<Void> listen() {
+    return Tcp.get(runtime.system())
+        .bind(
+            address.getAddress().getHostAddress(),
+            address.getPort(),
+            BACKLOG,
+            List.of(),
+            false,
+            Optional.empty())
+        .to(Sink.foreach(this::accept))
+        .run(runtime.system())
+        .thenAccept(
+            bound -> {
+              binding = Optional.of(bound);
+              address = bound.localAddress();
+            })
+        .toCompletableFuture();
+  }
+
+  /** Stops accepting and closes all connections. */
+  CompletableFuture<Void> shutDown() {
+    Optional<Tcp.ServerBinding> bound = binding;
+    binding = Optional.empty();
+    return bound
+        .map(b -> b.unbind().<Void>thenApply(done -> null).toCompletableFuture())
+        .orElseGet(() -> CompletableFuture.completedFuture(null))
+        .whenComplete((done, failure) -> open.values().forEach(KillSwitch::shutdown));
+  }
+
+  InetSocketAddress address() {
+    return address;
+  }
+
+  int openConnections() {
+    return open.size();
+  }
+
+  private void accept(Tcp.IncomingConnection connection) {
+    long id = ids.incrementAndGet();
+    if (open.size() >= maxConnections) {
+      connection.handleWith(
+          Flow.fromSinkAndSource(Sink.cancelled(), Source.empty()), runtime.system());
+      return;
+    }
+    SharedKillSwitch close = KillSwitches.shared("connection-" + id);
+    open.put(id, close);
+    Http.get(runtime.system())
+        .serverLayer(ServerSettings.create(runtime.system()))
+        .atop(plain())
+        .atop(watched(id, close))
+        .join(connection.flow())
+        .join(exchange(id, close))
+        .run(runtime.system());
+  }
+
+  private static BidiFlow<SslTlsOutbound, ByteString, ByteString, SslTlsInbound, NotUsed> plain() {
+    return BidiFlow.fromFlows(
+            Flow.of(SslTlsOutbound.class),
+            Flow.of(SessionBytes.class).map(bytes -> (SslTlsInbound) bytes))
+        .atop(TLSPlacebo.getInstance());
+  }
+
+  /**
+   * Passes the bytes on and sees the end of the connection.
+   *
+   * <p>Needed because the HTTP layer tells its user nothing of a caller that goes away while its
+   * request runs. The buffer keeps a read pending, without which the end would not be noticed.
+   */
+  private BidiFlow<ByteString, ByteString, ByteString, ByteString, NotUsed> watched(
+      long id, SharedKillSwitch close) {
+    Flow<ByteString, ByteString, NotUsed> in =
+        Flow.of(ByteString.class)
+            .watchTermination(
+                (notUsed, done) -> {
+                  done.whenComplete((ended, failure) -> ended(id));
+                  return notUsed;
+                })
+            .buffer(READ_AHEAD, OverflowStrategy.backpressure())
+            .via(close.flow());
+    return BidiFlow.fromFlows(Flow.of(ByteString.class).via(close.flow()), in);
+  }
+
+  private void ended(long id) {
+    KillSwitch close = open.remove(id);
+    if (close != null) {
+      close.shutdown();
+      handler.closed(id);
+    }
+  }
+
+  private Flow<HttpRequest, HttpResponse, NotUsed> exchange(long id, KillSwitch close) {
+    return Flow.of(HttpRequest.class)
+        .mapAsync(PIPELINE, request -> handler.handle(id, request))
+        .map(
+            response -> {
+              if (response.isEmpty()) {
+                close.shutdown();
+              }
+              return response;
+            })
+        .filter(Optional::isPresent)
+        .map(Optional::get);
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/bergamotcross/standin/TargetControl.java
@@ -0,0 +1,89 @@
+package org.bergamotcross.standin;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** Reads the control requests of a target stand-in. */
+final class TargetControl {
+  private static final Duration DEFAULT_DELAY = Duration.ofSeconds(1);
+  private static final long DEFAULT_COLD_FACTOR = 4;
+
+  private TargetControl() {}
+
+  static ControlResult<TargetChange> read(Parameters parameters) {
+    List<TargetChange> changes = new ArrayList<>();
+    Optional<Duration> length = parameters.millis("forMs");
+    fault(parameters)
+        .ifPresent(
+            fault -> {
+              if (fault instanceof TargetFault.ConnectionRefused && length.isEmpty()) {
+                parameters.wrong("forMs", "a time, because no request can end this fault");
+              }
+              changes.add(new TargetChange.SetFault(fault, length));
+            });
+    parameters.flag("drain").ifPresent(d -> changes.add(new TargetChange.SetDraining(d)));
+    parameters.millis("workMs").ifPresent(t -> changes.add(new TargetChange.SetWorkTime(t)));
+    parameters
+        .number("slots")
+        .ifPresent(n -> changes.add(new TargetChange.SetSlots((int) Math.min(n, 1 << 20))));
+    long factor = parameters.number("coldFactor").orElse(DEFAULT_COLD_FACTOR);
+    parameters.millis("coldMs").ifPresent(t -> changes.add(new TargetChange.StartCold(t, factor)));
+    health(parameters).ifPresent(changes::add);
+    load(parameters).ifPresent(changes::add);
+    List<String> problems = parameters.problems();
+    return problems.isEmpty()
+        ? new ControlResult.Accepted<>(changes)
+        : new ControlResult.Rejected<>(problems);
+  }
+
+  private static Optional<TargetFault> fault(Parameters parameters) {
+    Duration delay = parameters.millis("delayMs").orElse(DEFAULT_DELAY);
+    return parameters
+        .text("fault")
+        .flatMap(
+            name ->
+                switch (name) {
+                  case "none" -> Optional.of(new TargetFault.None());
+                  case "stall" -> Optional.of(new TargetFault.Stall());
+                  case "slow" -> Optional.of(new TargetFault.Slow(delay));
+                  case "errors" -> Optional.of(new TargetFault.Errors());
+                  case "cut-body" -> Optional.of(new TargetFault.CutBody());
+                  case "late-answer" -> Optional.of(new TargetFault.LateAnswer(delay));
+                  case "effect-without-answer" ->
+                      Optional.of(new TargetFault.EffectWithoutAnswer());
+                  case "connection-refused" -> Optional.of(new TargetFault.ConnectionRefused());
+                  default -> {
+                    parameters.wrong(
+                        "fault",
+                        "stall, slow, errors, cut-body, late-answer, effect-without-answer,"
+                            + " connection-refused or none");
+                    yield Optional.empty();
+                  }
+                });
+  }
+
+  private static Optional<TargetChange> health(Parameters parameters) {
+    return parameters
+        .text("health")
+        .flatMap(
+            text ->
+                switch (text) {
+                  case "pass" -> Optional.of(new TargetChange.SetHealth(Optional.of(true)));
+                  case "fail" -> Optional.of(new TargetChange.SetHealth(Optional.of(false)));
+                  case "default" -> Optional.of(new TargetChange.SetHealth(Optional.empty()));
+                  default -> {
+                    parameters.wrong("health", "pass, fail or default");
+                    yield Optional.empty();
+                  }
+                });
+  }
+
+  private static Optional<TargetChange> load(Parameters parameters) {
+    if (parameters.text("load").filter("default"::equals).isPresent()) {
+      return Optional.of(new TargetChange.SetLoad(Optional.empty()));
+    }
+    return parameters.number("load").map(n -> new TargetChange.SetLoad(Optional.of(n)));
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/bergamotcross/standin/Waiting.java
@@ -0,0 +1,25 @@
+package org.bergamotcross.standin;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+/** Waits for the answer of a duty, on threads that are no duty. */
+final class Waiting {
+  private static final Duration LIMIT = Duration.ofSeconds(10);
+
+  private Waiting() {}
+
+  static <T> T await(CompletableFuture<T> future) {
+    try {
+      return future.get(LIMIT.toNanos(), TimeUnit.NANOSECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException("interrupted while waiting for a stand-in", e);
+    } catch (ExecutionException | TimeoutException e) {
+      throw new IllegalStateException("a stand-in gave no answer: " + e, e);
+    }
+  }
+}
