Add choice of targets, wait queue and retry policy

Ruled out: counts of peers at one moment. A count that is used for 500 ms says little about a target whose requests last for 20 ms, so peers tell averages over their reporting interval (Broadcasts.PEER_IN_FLIGHT). Change: TargetChooser with InFlightCounts, WaitQueue, RetryPolicy with a budget for each pool. A refusal takes earlier attempts into account, so that "not run" stays true when the last attempt was shed and an earlier one may have run. A target that sheds is left alone for 100 ms or its Retry-After, at most 2 s, because it would otherwise look idle and draw most requests.

--- /dev/null
+++ b/core/src/main/java/org/bergamotcross/core/routing/RetryPolicy.java
@@ -0,0 +1,168 @@
+package org.bergamotcross.core.routing;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.bergamotcross.core.admission.Refusal;
+import org.bergamotcross.core.config.PoolId;
+import org.bergamotcross.core.config.TargetId;
+import org.bergamotcross.kernel.Now;
+
+/**
+ * Decides whether a request is sent again after an attempt has ended.
+ *
+ * <pre>{@code
+ * policy.onRequest(pool);
+ * ...
+ * switch (policy.decide(attempt, result, now)) {
+ *   case RetryDecision.Retry retry -> scheduleIn(retry.delay());
+ *   case RetryDecision.GiveUp giveUp -> handle.refuse(giveUp.refusal());
+ *   case RetryDecision.Deliver ignored -> passOn(response);
+ *   case RetryDecision.Drop ignored -> forget(request);
+ * }
+ * }</pre>
+ */
+public final class RetryPolicy {
+  static final int MAX_ATTEMPTS = 4;
+  static final Duration BASE_DELAY = Duration.ofMillis(25);
+  static final Duration MAX_DELAY = Duration.ofSeconds(1);
+  private static final int TOO_MANY_REQUESTS = 429;
+  private static final int FIRST_SERVER_ERROR = 500;
+
+  /**
+   * An attempt that has ended.
+   *
+   * @param pool the pool
+   * @param target the target
+   * @param number the number of the attempt, from 1
+   * @param idempotent whether the request may be repeated without a further effect
+   * @param mayHaveRun whether an earlier attempt may have run, see {@link #mayHaveRun}
+   * @param deadline when the caller stops waiting
+   */
+  public record Attempt(
+      PoolId pool,
+      TargetId target,
+      int number,
+      boolean idempotent,
+      boolean mayHaveRun,
+      Now deadline) {}
+
+  private final UniformRandomProvider random;
+  private final Map<PoolId, RetryBudget> budgets = new HashMap<>();
+
+  /**
+   * Creates a policy with a fresh budget for each pool.
+   *
+   * @param random the source of random numbers, seeded by the caller
+   */
+  public RetryPolicy(UniformRandomProvider random) {
+    this.random = random;
+  }
+
+  /**
+   * Counts a request, not its further attempts; a tenth of the requests may be retried.
+   *
+   * @param pool the pool
+   */
+  public void onRequest(PoolId pool) {
+    budget(pool).onRequest();
+  }
+
+  /**
+   * Forgets the budgets of pools that are not configured any more.
+   *
+   * @param pools the configured pools
+   */
+  public void retain(Collection<PoolId> pools) {
+    budgets.keySet().retainAll(pools);
+  }
+
+  /**
+   * Tells whether a target may have run a request after an attempt that ended in this way.
+   *
+   * @param result how the attempt ended
+   * @return false only when no byte can have left or the target said that it did not run it
+   */
+  public static boolean mayHaveRun(SendResult result) {
+    return switch (result) {
+      case SendResult.ConnectFailed ignored -> false;
+      case SendResult.Shed ignored -> false;
+      case SendResult.Completed ignored -> true;
+      case SendResult.Broken ignored -> true;
+      case SendResult.TimedOut ignored -> true;
+      case SendResult.Cancelled ignored -> true;
+    };
+  }
+
+  /**
+   * Decides what follows an attempt, and takes a retry from the budget of the pool.
+   *
+   * @param attempt the attempt
+   * @param result how it ended
+   * @param now the present time
+   * @return what to do
+   */
+  public RetryDecision decide(Attempt attempt, SendResult result, Now now) {
+    return switch (result) {
+      case SendResult.Cancelled ignored -> new RetryDecision.Drop();
+      case SendResult.TimedOut ignored ->
+          new RetryDecision.GiveUp(new Refusal.DeadlineAfterSend(attempt.target().value()));
+      case SendResult.Completed completed when !isRetryable(completed.status()) ->
+          new RetryDecision.Deliver();
+      case SendResult.Completed ignored ->
+          retry(attempt, result, now).orElseGet(RetryDecision.Deliver::new);
+      case SendResult.Shed ignored -> retryOrGiveUp(attempt, result, now);
+      case SendResult.ConnectFailed ignored -> retryOrGiveUp(attempt, result, now);
+      case SendResult.Broken ignored -> retryOrGiveUp(attempt, result, now);
+    };
+  }
+
+  private static boolean isRetryable(int status) {
+    return status == TOO_MANY_REQUESTS || status >= FIRST_SERVER_ERROR;
+  }
+
+  private RetryDecision retryOrGiveUp(Attempt attempt, SendResult result, Now now) {
+    return retry(attempt, result, now)
+        .orElseGet(() -> new RetryDecision.GiveUp(refusal(attempt, result, now)));
+  }
+
+  private Optional<RetryDecision> retry(Attempt attempt, SendResult result, Now now) {
+    boolean repeatable = attempt.idempotent() || result instanceof SendResult.ConnectFailed;
+    if (!repeatable || attempt.number() >= MAX_ATTEMPTS) {
+      return Optional.empty();
+    }
+    Duration delay = delay(attempt.number(), result);
+    if (!now.plus(delay).isBefore(attempt.deadline()) || !budget(attempt.pool()).take()) {
+      return Optional.empty();
+    }
+    return Optional.of(new RetryDecision.Retry(delay));
+  }
+
+  private Duration delay(int number, SendResult result) {
+    long limit = Math.min(MAX_DELAY.toNanos(), BASE_DELAY.toNanos() << (number - 1));
+    Duration jitter = Duration.ofNanos(random.nextLong(limit));
+    Optional<Duration> wished =
+        result instanceof SendResult.Shed shed ? shed.retryAfter() : Optional.empty();
+    // Callers that were told the same Retry-After must not come back at the same moment.
+    return wished.map(jitter::plus).orElse(jitter);
+  }
+
+  private static Refusal refusal(Attempt attempt, SendResult result, Now now) {
+    if (attempt.mayHaveRun() || mayHaveRun(result)) {
+      return new Refusal.TargetFailed(attempt.target().value());
+    }
+    if (!now.isBefore(attempt.deadline())) {
+      return new Refusal.DeadlineBeforeSend();
+    }
+    return result instanceof SendResult.Shed shed
+        ? new Refusal.TargetRefused(attempt.target().value(), shed.retryAfter())
+        : new Refusal.NoTarget(attempt.pool().value());
+  }
+
+  private RetryBudget budget(PoolId pool) {
+    return budgets.computeIfAbsent(pool, id -> new RetryBudget());
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/bergamotcross/core/routing/WaitQueue.java
@@ -0,0 +1,167 @@
+package org.bergamotcross.core.routing;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+import org.bergamotcross.core.config.OrganisationId;
+import org.bergamotcross.kernel.Now;
+
+/**
+ * Holds requests that wait for a target, the earliest deadline first.
+ *
+ * <p>One organisation uses at most a quarter of the queue, so that it can't push out the others.
+ *
+ * @param <T> the type of the waiting requests
+ */
+public final class WaitQueue<T> {
+  private static final int PARTS = 4;
+
+  /** The result of offering a request. */
+  public sealed interface Entry {
+
+    /** The request waits. */
+    record Waiting() implements Entry {}
+
+    /** The queue is full; the request is not in it. */
+    record Full() implements Entry {}
+
+    /** The organisation uses its quarter of the queue; the request is not in it. */
+    record ShareUsed() implements Entry {}
+  }
+
+  private record Waiter<T>(
+      String id, long order, OrganisationId organisation, Now deadline, T request) {}
+
+  private final int capacity;
+  private final TreeSet<Waiter<T>> waiters =
+      new TreeSet<>(
+          Comparator.comparing((Waiter<T> waiter) -> waiter.deadline())
+              .thenComparingLong(Waiter::order));
+  private final Map<String, Waiter<T>> byId = new HashMap<>();
+  private final Map<OrganisationId, Integer> shares = new HashMap<>();
+  private long order;
+
+  /**
+   * Creates an empty queue.
+   *
+   * @param capacity the number of requests it holds, at least 1
+   * @throws IllegalArgumentException if the capacity is below 1
+   */
+  public WaitQueue(int capacity) {
+    if (capacity < 1) {
+      throw new IllegalArgumentException("queue has capacity " + capacity + "; use 1 or more");
+    }
+    this.capacity = capacity;
+  }
+
+  /**
+   * Offers a request.
+   *
+   * @param id the request id, unique in the queue
+   * @param organisation whose request it is
+   * @param deadline when the caller stops waiting
+   * @param request the request
+   * @return whether it waits now
+   * @throws IllegalArgumentException if a request with the id waits already
+   */
+  public Entry offer(String id, OrganisationId organisation, Now deadline, T request) {
+    if (waiters.size() >= capacity) {
+      return new Entry.Full();
+    }
+    if (shares.getOrDefault(organisation, 0) >= Math.max(1, capacity / PARTS)) {
+      return new Entry.ShareUsed();
+    }
+    Waiter<T> waiter = new Waiter<>(id, order++, organisation, deadline, request);
+    if (byId.putIfAbsent(id, waiter) != null) {
+      throw new IllegalArgumentException("request " + id + " waits already; use a unique id");
+    }
+    waiters.add(waiter);
+    shares.merge(organisation, 1, Integer::sum);
+    return new Entry.Waiting();
+  }
+
+  /**
+   * Returns the request that is served next and leaves it in the queue.
+   *
+   * @return the request with the earliest deadline
+   */
+  public Optional<T> peek() {
+    return waiters.isEmpty() ? Optional.empty() : Optional.of(waiters.first().request());
+  }
+
+  /**
+   * Takes the request that is served next.
+   *
+   * @return the request with the earliest deadline
+   */
+  public Optional<T> poll() {
+    return waiters.isEmpty() ? Optional.empty() : Optional.of(take(waiters.first()));
+  }
+
+  /**
+   * Takes a request, for example because its caller went away.
+   *
+   * @param id the request id
+   * @return the request, or nothing when it does not wait
+   */
+  public Optional<T> remove(String id) {
+    return Optional.ofNullable(byId.get(id)).map(this::take);
+  }
+
+  /**
+   * Takes all requests whose deadline has come.
+   *
+   * @param now the present time
+   * @return the requests, the earliest deadline first
+   */
+  public List<T> removeExpired(Now now) {
+    List<T> expired = new ArrayList<>();
+    while (!waiters.isEmpty() && !waiters.first().deadline().isAfter(now)) {
+      expired.add(take(waiters.first()));
+    }
+    return expired;
+  }
+
+  /**
+   * Takes all requests that meet a condition, for example those with a withdrawn key.
+   *
+   * @param condition the condition
+   * @return the requests, the earliest deadline first
+   */
+  public List<T> removeIf(Predicate<T> condition) {
+    List<Waiter<T>> found =
+        waiters.stream().filter(waiter -> condition.test(waiter.request())).toList();
+    return found.stream().map(this::take).toList();
+  }
+
+  /**
+   * Returns the earliest deadline.
+   *
+   * @return the time at which the next request expires
+   */
+  public Optional<Now> nextDeadline() {
+    return waiters.isEmpty() ? Optional.empty() : Optional.of(waiters.first().deadline());
+  }
+
+  /**
+   * Returns the number of waiting requests.
+   *
+   * @return the number
+   */
+  public int size() {
+    return waiters.size();
+  }
+
+  private T take(Waiter<T> waiter) {
+    waiters.remove(waiter);
+    byId.remove(waiter.id());
+    shares.computeIfPresent(
+        waiter.organisation(), (organisation, count) -> count > 1 ? count - 1 : null);
+    return waiter.request();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/bergamotcross/core/routing/TargetChooserTest.java
@@ -0,0 +1,182 @@
+package org.bergamotcross.core.routing;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Group;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.bergamotcross.core.config.Pool;
+import org.bergamotcross.core.config.TargetId;
+import org.bergamotcross.core.membership.InstanceId;
+import org.bergamotcross.kernel.Now;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class TargetChooserTest {
+  private static final InstanceId PEER = new InstanceId("entry-2");
+  private static final HealthView HEALTHY = new HealthView(Map.of());
+  private static final Now START = Now.ofMillis(1_000);
+
+  private final InFlightCounts inFlight = new InFlightCounts();
+  private final TargetChooser chooser =
+      new TargetChooser(Fixtures.domain(0), inFlight, Fixtures.random(7));
+
+  private Choice choose(Pool pool, HealthView health, boolean idempotent, Now now) {
+    return chooser.choose(pool, health, idempotent, Optional.empty(), now);
+  }
+
+  private static Map<TargetId, Integer> spread(List<Choice> choices) {
+    Map<TargetId, Integer> counts = new HashMap<>();
+    for (Choice choice : choices) {
+      counts.merge(((Choice.Chosen) choice).target().id(), 1, Integer::sum);
+    }
+    return counts;
+  }
+
+  private List<Choice> chooseOften(int times, Pool pool, HealthView health) {
+    return IntStream.range(0, times).mapToObj(i -> choose(pool, health, false, START)).toList();
+  }
+
+  @Nested
+  class Load {
+    // Guards against work for a busy target while an idle one is known.
+    @Test
+    void prefersTheTargetWithFewerRequests() {
+      inFlight.started(Fixtures.id(0));
+      Choice choice = choose(Fixtures.pool(2, 0.5), HEALTHY, false, START);
+      assertThat(spread(List.of(choice))).containsExactly(Fixtures.id(1), 1);
+    }
+
+    // Guards against instances that all see their own requests only and overload a target.
+    @Test
+    void countsWhatPeersTold() {
+      inFlight.reported(PEER, Map.of(Fixtures.id(1), 1.6), START);
+      Choice choice = choose(Fixtures.pool(2, 0.5), HEALTHY, false, START);
+      assertThat(spread(List.of(choice))).containsExactly(Fixtures.id(0), 1);
+    }
+
+    // Guards against slots that stay blocked by what a lost peer said last.
+    @Test
+    void forgetsWhatPeersToldLongAgo() {
+      inFlight.reported(PEER, Map.of(Fixtures.id(0), 4.0), START);
+      assertThat(choose(Fixtures.pool(1, 0), HEALTHY, false, START))
+          .isInstanceOf(Choice.Busy.class);
+      Now later = START.plus(InFlightCounts.PEER_AGE_LIMIT).plus(Duration.ofMillis(1));
+      assertThat(choose(Fixtures.pool(1, 0), HEALTHY, false, later))
+          .isInstanceOf(Choice.Chosen.class);
+    }
+
+    // Guards against the cost of crossing failure domains without any gain.
+    @Test
+    void prefersTheOwnFailureDomainAtATie() {
+      Map<TargetId, Integer> counts = spread(chooseOften(300, Fixtures.pool(3, 0.5), HEALTHY));
+      // The near target wins each of the two draws in three in which it takes part.
+      assertThat(counts.get(Fixtures.id(0))).isAtLeast(170);
+      assertThat(counts).hasSize(3);
+    }
+
+    // Guards against a recovering target that gets its full share at once.
+    @Test
+    void drawsARampingTargetLessOften() {
+      HealthView health = new HealthView(Map.of(Fixtures.id(1), new TargetStatus.InUse(0.1)));
+      Map<TargetId, Integer> counts = spread(chooseOften(1_000, Fixtures.pool(12, 0.5), health));
+      assertThat(counts.getOrDefault(Fixtures.id(1), 0)).isAtMost(20);
+    }
+
+    // Guards against a target that sheds at once, looks idle and draws most of the requests.
+    @Test
+    void leavesATargetAloneThatShed() {
+      chooser.shed(Fixtures.id(0), Optional.empty(), START);
+      assertThat(spread(chooseOften(50, Fixtures.pool(2, 0.5), HEALTHY)))
+          .containsExactly(Fixtures.id(1), 50);
+      Now later = START.plus(TargetChooser.SHED_PAUSE);
+      inFlight.started(Fixtures.id(1));
+      assertThat(spread(List.of(choose(Fixtures.pool(2, 0.5), HEALTHY, false, later))))
+          .containsExactly(Fixtures.id(0), 1);
+    }
+
+    // Guards against a retry at the target that has just failed.
+    @Test
+    void usesThePreviousTargetOnlyWhenThereIsNoOther() {
+      Optional<TargetId> previous = Optional.of(Fixtures.id(0));
+      Choice other = chooser.choose(Fixtures.pool(2, 0), HEALTHY, true, previous, START);
+      assertThat(spread(List.of(other))).containsExactly(Fixtures.id(1), 1);
+      Choice only = chooser.choose(Fixtures.pool(1, 0), HEALTHY, true, previous, START);
+      assertThat(only).isInstanceOf(Choice.Chosen.class);
+    }
+  }
+
+  @Nested
+  @Group
+  class Slots {
+    // Guards against more requests at a target than it runs at once.
+    @Property(seed = "4711", tries = 200)
+    void areNeverExceeded(
+        @ForAll @IntRange(min = 1, max = 16) int size,
+        @ForAll long seed,
+        @ForAll @IntRange(max = 5) int peerLoad) {
+      InFlightCounts counts = new InFlightCounts();
+      TargetChooser any = new TargetChooser(Fixtures.domain(1), counts, Fixtures.random(seed));
+      Pool pool = Fixtures.pool(size, 0.5);
+      counts.reported(PEER, Map.of(Fixtures.id(0), (double) peerLoad), START);
+      for (int i = 0; i < 4 * size + 10; i++) {
+        Choice choice = any.choose(pool, HEALTHY, false, Optional.empty(), START);
+        if (choice instanceof Choice.Chosen chosen) {
+          counts.started(chosen.target().id());
+          assertThat(counts.known(chosen.target().id(), START)).isAtMost(pool.slots());
+        }
+      }
+      assertThat(any.choose(pool, HEALTHY, false, Optional.empty(), START))
+          .isInstanceOf(Choice.Busy.class);
+    }
+  }
+
+  @Nested
+  class Trials {
+    private final HealthView trial =
+        new HealthView(Map.of(Fixtures.id(0), new TargetStatus.Trial()));
+
+    // Guards against an order that is sent to a target which has just failed.
+    @Test
+    void getNoNonIdempotentRequest() {
+      assertThat(choose(Fixtures.pool(1, 0), trial, false, START))
+          .isInstanceOf(Choice.NoneInUse.class);
+    }
+
+    // Guards against a burst at a target that is tried, before the health duty has heard of it.
+    @Test
+    void getASingleRequestWhileTheViewStaysTheSame() {
+      Pool pool = Fixtures.pool(2, 0.5);
+      assertThat(((Choice.Chosen) choose(pool, trial, true, START)).trial()).isTrue();
+      for (int i = 0; i < 20; i++) {
+        assertThat(((Choice.Chosen) choose(pool, trial, true, START)).trial()).isFalse();
+      }
+      Now later = START.plus(TargetChooser.TRIAL_PAUSE);
+      assertThat(((Choice.Chosen) choose(pool, trial, true, later)).trial()).isTrue();
+    }
+  }
+
+  @Nested
+  class Avoided {
+    // Guards against work for targets that are out of use, whatever else is busy.
+    @Test
+    void getNothing() {
+      HealthView health =
+          new HealthView(
+              Map.of(
+                  Fixtures.id(0), new TargetStatus.Avoided(TargetStatus.Reason.EJECTED),
+                  Fixtures.id(1), new TargetStatus.Avoided(TargetStatus.Reason.LEAVING)));
+      assertThat(choose(Fixtures.pool(2, 0), health, true, START))
+          .isInstanceOf(Choice.NoneInUse.class);
+      assertThat(spread(chooseOften(40, Fixtures.pool(3, 0), health)))
+          .containsExactly(Fixtures.id(2), 40);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/bergamotcross/core/routing/WaitQueueTest.java
@@ -0,0 +1,82 @@
+package org.bergamotcross.core.routing;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.bergamotcross.core.config.OrganisationId;
+import org.bergamotcross.kernel.Now;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class WaitQueueTest {
+  private static final OrganisationId LARGE = new OrganisationId("team/large");
+  private static final OrganisationId SMALL = new OrganisationId("team/small");
+
+  private final WaitQueue<String> queue = new WaitQueue<>(8);
+
+  private WaitQueue.Entry offer(String id, OrganisationId organisation, long deadline) {
+    return queue.offer(id, organisation, Now.ofMillis(deadline), id);
+  }
+
+  @Nested
+  class Order {
+    // Guards against requests that expire behind others that could have waited.
+    @Test
+    void isByDeadlineThenByArrival() {
+      offer("late", LARGE, 30);
+      offer("first", SMALL, 10);
+      offer("second", SMALL, 10);
+      assertThat(queue.nextDeadline()).hasValue(Now.ofMillis(10));
+      assertThat(queue.peek()).hasValue("first");
+      assertThat(queue.poll()).hasValue("first");
+      assertThat(queue.poll()).hasValue("second");
+      assertThat(queue.poll()).hasValue("late");
+      assertThat(queue.poll()).isEmpty();
+    }
+  }
+
+  @Nested
+  class Shares {
+    // Guards against one organisation that fills the queue and locks out the others.
+    @Test
+    void areAQuarterOfTheQueueForEachOrganisation() {
+      offer("a", LARGE, 10);
+      offer("b", LARGE, 10);
+      assertThat(offer("c", LARGE, 10)).isEqualTo(new WaitQueue.Entry.ShareUsed());
+      assertThat(offer("d", SMALL, 10)).isEqualTo(new WaitQueue.Entry.Waiting());
+      queue.poll();
+      assertThat(offer("e", LARGE, 10)).isEqualTo(new WaitQueue.Entry.Waiting());
+    }
+
+    @Test
+    void endAtTheCapacity() {
+      for (int i = 0; i < 8; i++) {
+        offer("r" + i, new OrganisationId("team/" + i), 10);
+      }
+      assertThat(offer("more", SMALL, 10)).isEqualTo(new WaitQueue.Entry.Full());
+    }
+  }
+
+  @Nested
+  class Leaving {
+    // Guards against work for callers that have stopped waiting, and shares that leak with them.
+    @Test
+    void happensAtTheDeadline() {
+      offer("a", LARGE, 10);
+      offer("b", LARGE, 11);
+      assertThat(queue.removeExpired(Now.ofMillis(9))).isEmpty();
+      assertThat(queue.removeExpired(Now.ofMillis(10))).containsExactly("a");
+      assertThat(offer("c", LARGE, 20)).isEqualTo(new WaitQueue.Entry.Waiting());
+    }
+
+    // Guards against requests with a withdrawn key that run because they already waited.
+    @Test
+    void happensOnDemand() {
+      offer("a", LARGE, 10);
+      offer("b", SMALL, 11);
+      assertThat(queue.remove("a")).hasValue("a");
+      assertThat(queue.remove("a")).isEmpty();
+      assertThat(queue.removeIf(id -> id.equals("b"))).containsExactly("b");
+      assertThat(queue.size()).isEqualTo(0);
+    }
+  }
+}
--- a/entry/src/main/java/org/bergamotcross/entry/Broadcasts.java
+++ b/entry/src/main/java/org/bergamotcross/entry/Broadcasts.java
@@ -1,6 +1,9 @@
 package org.bergamotcross.entry;
 
+import java.util.Map;
 import org.bergamotcross.core.config.Configuration;
+import org.bergamotcross.core.config.TargetId;
+import org.bergamotcross.core.membership.InstanceId;
 import org.bergamotcross.core.membership.Member;
 import org.bergamotcross.core.routing.HealthView;
 import org.bergamotcross.kernel.Broadcast;
@@ -23,8 +26,25 @@
   /** The status of all targets; published by the health duty when a status changes. */
   public static final Broadcast<HealthView> HEALTH = new Broadcast<>("health");
 
+  /** What a peer told about its requests in flight; published by the health plug-in. */
+  public static final Broadcast<PeerInFlight> PEER_IN_FLIGHT = new Broadcast<>("peer-in-flight");
+
   private Broadcasts() {}
 
+  /**
+   * The requests of a peer that are in flight; replaces what it told before.
+   *
+   * @param peer the peer
+   * @param averages the average number of requests in flight by target, without those at 0
+   */
+  public record PeerInFlight(InstanceId peer, Map<TargetId, Double> averages) {
+
+    /** Copies the map. */
+    public PeerInFlight {
+      averages = Map.copyOf(averages);
+    }
+  }
+
   /**
    * How long keys, shares and claims may be used.
    *
