Add the health of targets: evidence, verdict, floor and readmission

Cause: targets stall real work while they answer probes, and a quiet pool gives a single request as evidence. Ruled out: consecutive failures (never sees a partial fault or an open request), probes, a vote of the instances (at 1 request/s only one of them has evidence), and taking back an ejection on any later success (a flapping target would get normal work at once). Change: PoolHealth over TargetHealth. A stall is the latest open request older than the threshold without a later success; peers weigh it against their own successes that were sent after it. The latency median includes the age of open requests, so that a slow pool raises its own threshold. The floor is restored after each change, also when targets leave or the pool is configured anew.

--- /dev/null
+++ b/core/src/main/java/org/bergamotcross/core/routing/OwnEvidence.java
@@ -0,0 +1,139 @@
+package org.bergamotcross.core.routing;
+
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import org.bergamotcross.kernel.Now;
+
+/** What this instance has seen of one target, from its own requests. */
+final class OwnEvidence {
+  private static final double NEWEST_SHARE = 0.2;
+  private static final int FIRST_SERVER_ERROR = 500;
+
+  private final Map<String, Now> open = new LinkedHashMap<>();
+  private final DecayingCount failures = new DecayingCount();
+  private final DecayingCount ends = new DecayingCount();
+  private OptionalDouble averageNanos = OptionalDouble.empty();
+  private Optional<Now> stall = Optional.empty();
+  private Optional<Now> success = Optional.empty();
+  private Optional<Now> failure = Optional.empty();
+  private double openNanos;
+  private Now countedUntil;
+
+  OwnEvidence(Now now) {
+    this.countedUntil = now;
+  }
+
+  void started(String attempt, Now now) {
+    countOpen(now);
+    open.put(attempt, now);
+  }
+
+  /** Returns when the attempt started; nothing when it is unknown, as after a restart. */
+  Optional<Now> ended(
+      String attempt, SendResult result, Duration timeToHead, Duration threshold, Now now) {
+    countOpen(now);
+    Optional<Now> start = Optional.ofNullable(open.remove(attempt));
+    start.ifPresent(s -> judge(s, result, timeToHead, threshold, now));
+    return start;
+  }
+
+  private void judge(
+      Now start, SendResult result, Duration timeToHead, Duration threshold, Now now) {
+    switch (result) {
+      case SendResult.Completed completed when completed.status() >= FIRST_SERVER_ERROR ->
+          failed(start, now);
+      case SendResult.Completed ignored -> completed(start, timeToHead, threshold, now);
+      case SendResult.ConnectFailed ignored -> failed(start, now);
+      case SendResult.Broken ignored -> failed(start, now);
+      // A caller that allows 5 ms says nothing about the target.
+      case SendResult.TimedOut ignored -> {
+        if (now.since(start).compareTo(threshold) >= 0) {
+          failed(start, now);
+        }
+      }
+      // A target that sheds is alive; the chooser leaves it alone for a moment.
+      case SendResult.Shed ignored -> {}
+      case SendResult.Cancelled ignored -> {}
+    }
+  }
+
+  private void completed(Now start, Duration timeToHead, Duration threshold, Now now) {
+    ends.add(now);
+    double nanos = timeToHead.toNanos();
+    averageNanos =
+        OptionalDouble.of(
+            averageNanos.isPresent()
+                ? averageNanos.getAsDouble() * (1 - NEWEST_SHARE) + nanos * NEWEST_SHARE
+                : nanos);
+    if (timeToHead.compareTo(threshold) <= 0) {
+      success = Optional.of(latest(success, start));
+    }
+  }
+
+  private void failed(Now start, Now now) {
+    ends.add(now);
+    failures.add(now);
+    failure = Optional.of(latest(failure, start));
+  }
+
+  private static Now latest(Optional<Now> known, Now start) {
+    return known.filter(k -> k.isAfter(start)).orElse(start);
+  }
+
+  /** Notes the latest start of an open request that is older than the threshold. */
+  void update(Duration threshold, Now now) {
+    for (Now start : open.values()) {
+      if (now.since(start).compareTo(threshold) < 0) {
+        return;
+      }
+      stall = Optional.of(latest(stall, start));
+    }
+  }
+
+  /** Returns the average time to the head, or the age of an open request if that is larger. */
+  OptionalDouble estimateNanos(boolean withOpen, Now now) {
+    if (!withOpen || open.isEmpty()) {
+      return averageNanos;
+    }
+    Now oldest = open.values().iterator().next();
+    if (success.isPresent() && success.get().isAfter(oldest)) {
+      return averageNanos;
+    }
+    return OptionalDouble.of(
+        Math.max(averageNanos.orElse(0), (double) now.since(oldest).toNanos()));
+  }
+
+  Observation observation(TargetHealth target, Now now) {
+    return new Observation(
+        target.self(),
+        target.ownDomain(),
+        stall,
+        success,
+        failure,
+        failures.value(now),
+        ends.value(now),
+        now);
+  }
+
+  /** Forgets failures from before a readmission, which say nothing about the target now. */
+  void resetFailures() {
+    failures.reset();
+    ends.reset();
+  }
+
+  /** Returns the average number of open requests since the last call. */
+  double takeAverageOpen(Now now, Duration interval) {
+    countOpen(now);
+    double average = openNanos / Math.max(1, interval.toNanos());
+    openNanos = 0;
+    return average;
+  }
+
+  private void countOpen(Now now) {
+    openNanos += (double) open.size() * now.since(countedUntil).toNanos();
+    countedUntil = now;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/bergamotcross/core/routing/TargetEvidence.java
@@ -0,0 +1,32 @@
+package org.bergamotcross.core.routing;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.bergamotcross.core.config.TargetId;
+
+/**
+ * What one instance has seen of one target.
+ *
+ * <p>All times are ages, so that they mean the same on the clock of the receiver.
+ *
+ * @param target the target
+ * @param stallAge the time since the start of the latest request that did not end within the stall
+ *     threshold, unless a later one succeeded
+ * @param successAge the time since the start of the latest request that succeeded
+ * @param failureAge the time since the start of the latest request that failed
+ * @param failures the recent failures; each counts less as it gets older
+ * @param ends the recent requests that succeeded or failed, counted in the same way
+ * @param trialAge the time since the start of a trial that is still open
+ * @param round the number of ejections and failed trials that are not forgotten yet
+ * @param draining whether the target said that it is draining
+ */
+public record TargetEvidence(
+    TargetId target,
+    Optional<Duration> stallAge,
+    Optional<Duration> successAge,
+    Optional<Duration> failureAge,
+    double failures,
+    double ends,
+    Optional<Duration> trialAge,
+    int round,
+    boolean draining) {}
--- /dev/null
+++ b/core/src/test/java/org/bergamotcross/core/routing/HealthHarness.java
@@ -0,0 +1,104 @@
+package org.bergamotcross.core.routing;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.bergamotcross.core.config.Pool;
+import org.bergamotcross.core.config.TargetId;
+import org.bergamotcross.core.membership.InstanceId;
+import org.bergamotcross.kernel.Now;
+
+/** One instance with a clock of its own, driven by the tests. */
+final class HealthHarness {
+  static final SendResult OK = new SendResult.Completed(200, false);
+  static final SendResult ERROR = new SendResult.Completed(500, false);
+  static final Duration FAST = Duration.ofMillis(20);
+  private static final Duration TICK = Duration.ofMillis(50);
+
+  final PoolHealth health;
+  final List<HealthDecision> decisions = new ArrayList<>();
+  private Now now;
+  private int attempts;
+
+  /** Instance {@code i} runs in failure domain {@code i % 3}. */
+  HealthHarness(int instance, Pool pool, Now start) {
+    this.now = start;
+    InstanceId id = new InstanceId("entry-" + instance);
+    this.health = new PoolHealth(id, 1, Fixtures.domain(instance % 3), pool, start);
+  }
+
+  Now now() {
+    return now;
+  }
+
+  /** Lets time pass, with a tick every 50 ms. */
+  void pass(Duration duration) {
+    Now end = now.plus(duration);
+    while (now.isBefore(end)) {
+      Now next = now.plus(TICK);
+      now = next.isAfter(end) ? end : next;
+      decisions.addAll(health.tick(now));
+    }
+  }
+
+  void stepWallClock(Duration step) {
+    now = new Now(now.monotonicNanos(), now.wallMillis() + step.toMillis());
+  }
+
+  String start(int target) {
+    String attempt = "a" + attempts++;
+    decisions.addAll(health.started(attempt, Fixtures.id(target), now));
+    return attempt;
+  }
+
+  void end(String attempt, int target, SendResult result, Duration time) {
+    decisions.addAll(health.ended(attempt, Fixtures.id(target), result, time, now));
+  }
+
+  /** Runs one request that takes 20 ms. */
+  void request(int target, SendResult result) {
+    String attempt = start(target);
+    now = now.plus(FAST);
+    end(attempt, target, result, FAST);
+  }
+
+  void successes(int... targets) {
+    for (int target : targets) {
+      request(target, OK);
+    }
+  }
+
+  Optional<PoolReport> report() {
+    return health.report(now);
+  }
+
+  /** Hands the present evidence to peers, which all have the same time. */
+  void tell(HealthHarness... peers) {
+    report()
+        .ifPresent(
+            report -> {
+              for (HealthHarness peer : peers) {
+                peer.decisions.addAll(peer.health.reported(report, peer.now));
+              }
+            });
+  }
+
+  TargetStatus status(int target) {
+    return health.statuses(now).getOrDefault(Fixtures.id(target), new TargetStatus.InUse(1.0));
+  }
+
+  boolean isAvoided(int target) {
+    return !(status(target) instanceof TargetStatus.InUse);
+  }
+
+  <T extends HealthDecision> List<T> decided(Class<T> type) {
+    return decisions.stream().filter(type::isInstance).map(type::cast).toList();
+  }
+
+  List<TargetId> ejected() {
+    return decided(HealthDecision.Ejected.class).stream()
+        .map(HealthDecision.Ejected::target)
+        .toList();
+  }
+}
