--- a/entry/src/main/java/org/bergamotcross/entry/AdmissionInput.java
+++ b/entry/src/main/java/org/bergamotcross/entry/AdmissionInput.java
@@ -17,9 +17,9 @@
   /**
    * The caller of a request that may still wait went away.
    *
-   * @param requestId the request
+   * @param handle the request; ids are chosen by callers, so two open requests may share one
    */
-  record CallerGone(String requestId) implements AdmissionInput {}
+  record CallerGone(RequestHandle handle) implements AdmissionInput {}
 
   /**
    * A request with a claim ended; offered to the reserve.
--- a/entry/src/main/java/org/bergamotcross/entry/RoutingInput.java
+++ b/entry/src/main/java/org/bergamotcross/entry/RoutingInput.java
@@ -13,9 +13,9 @@
   /**
    * The caller of a request went away.
    *
-   * @param requestId the request
+   * @param handle the request; ids are chosen by callers, so two open requests may share one
    */
-  record CallerGone(String requestId) implements RoutingInput {}
+  record CallerGone(RequestHandle handle) implements RoutingInput {}
 
   /** Messages that only the routing plug-in sends to itself; it seals them on its side. */
   non-sealed interface Internal extends RoutingInput {}
--- /dev/null
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/RoutingDuty.java
@@ -0,0 +1,403 @@
+package org.bergamotcross.entry.duties;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.bergamotcross.core.admission.Outcome;
+import org.bergamotcross.core.admission.Refusal;
+import org.bergamotcross.core.config.Configuration;
+import org.bergamotcross.core.config.Pool;
+import org.bergamotcross.core.config.PoolId;
+import org.bergamotcross.core.membership.FailureDomain;
+import org.bergamotcross.core.routing.Choice;
+import org.bergamotcross.core.routing.InFlightCounts;
+import org.bergamotcross.core.routing.RetryDecision;
+import org.bergamotcross.core.routing.RetryPolicy;
+import org.bergamotcross.core.routing.SendResult;
+import org.bergamotcross.core.routing.TargetChooser;
+import org.bergamotcross.entry.AdmittedRequest;
+import org.bergamotcross.entry.EntrySettings;
+import org.bergamotcross.entry.RoutingInput;
+import org.bergamotcross.entry.SendEvent;
+import org.bergamotcross.entry.TargetSender;
+import org.bergamotcross.kernel.DutyHandler;
+import org.bergamotcross.kernel.Now;
+import org.bergamotcross.kernel.PluginContext;
+import org.bergamotcross.kernel.Ring;
+
+/** Brings each admitted request to a target and to its end; runs on the routing thread. */
+final class RoutingDuty implements DutyHandler<RoutingInput> {
+  // The precision of deadlines and of the end of a back-off.
+  private static final Duration TICK = Duration.ofMillis(5);
+  // An attempt has two events under way at most, and half of the ring is reserved for events.
+  private static final int RING_MESSAGES_PER_ATTEMPT = 4;
+
+  private final TargetSender sender;
+  private final RoutingView view;
+  private final Ring<RoutingInput> ring;
+  private final RoutingReports reports;
+  private final RequestTable table;
+  private final int maxSent;
+  private final InFlightCounts counts = new InFlightCounts();
+  private final TargetChooser chooser;
+  private final RetryPolicy retries;
+  private Configuration known = Configuration.EMPTY;
+  private int sentNow;
+  private long attempts;
+
+  RoutingDuty(
+      PluginContext context, Ring<RoutingInput> ring, TargetSender sender, RoutingView view) {
+    this.sender = sender;
+    this.view = view;
+    this.ring = ring;
+    this.reports = new RoutingReports(context);
+    this.table = new RequestTable(context.settings().value(EntrySettings.QUEUE_CAPACITY));
+    this.maxSent =
+        context.settings().value(EntrySettings.RING_CAPACITY) / RING_MESSAGES_PER_ATTEMPT;
+    UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
+    FailureDomain own = new FailureDomain(context.settings().value(EntrySettings.FAILURE_DOMAIN));
+    this.chooser = new TargetChooser(own, counts, random);
+    this.retries = new RetryPolicy(random);
+  }
+
+  @Override
+  public void onMessage(RoutingInput message, Now now) {
+    switch (message) {
+      case RoutingInput.Admitted admitted -> accept(admitted.request(), now);
+      case RoutingInput.CallerGone gone ->
+          table.find(gone.handle()).ifPresent(request -> abandon(request, now));
+      case RoutingInput.Internal internal -> onInternal(internal, now);
+    }
+  }
+
+  @Override
+  public Duration onTick(Now now) {
+    if (view.isStopOver(now)) {
+      table.all().forEach(request -> cut(request, now));
+    }
+    table.expired(now).forEach(request -> expire(request, now));
+    refuseWithdrawnKeys();
+    table.takeDue(now).forEach(request -> dispatch(request, now));
+    table.waitingPools().forEach(pool -> serve(pool, now));
+    return TICK;
+  }
+
+  private void onInternal(RoutingInput.Internal internal, Now now) {
+    if (internal instanceof RoutingEvent event) {
+      switch (event) {
+        case RoutingEvent.Sending sending -> onSending(sending, now);
+        case RoutingEvent.PeerReported reported ->
+            counts.reported(reported.report().peer(), reported.report().averages(), now);
+      }
+    }
+  }
+
+  private void accept(AdmittedRequest admitted, Now now) {
+    InHand request = table.add(admitted);
+    retries.onRequest(admitted.route().pool());
+    if (!sender.isAwaited(admitted)) {
+      abandon(request, now);
+      return;
+    }
+    dispatch(request, now);
+  }
+
+  /** Sends a request or puts it into the queue; those that wait already go first. */
+  private void dispatch(InHand request, Now now) {
+    PoolId pool = request.admitted().route().pool();
+    if (table.next(pool).isPresent() || !sendOrRefuse(request, now)) {
+      if (table.enqueue(request)) {
+        reports.queued(request);
+        serve(pool, now);
+      } else {
+        refuse(request, new Refusal.Overloaded("the queue of pool " + pool));
+      }
+    }
+  }
+
+  private void serve(PoolId pool, Now now) {
+    Optional<InHand> next = table.next(pool);
+    while (next.isPresent() && sendOrRefuse(next.get(), now)) {
+      next = table.next(pool);
+    }
+  }
+
+  /** Returns whether the request needs to wait no longer. */
+  private boolean sendOrRefuse(InHand request, Now now) {
+    Optional<Refusal> refusal = refusalBeforeSend(request, now);
+    if (refusal.isPresent()) {
+      refuse(request, refusal.get());
+      return true;
+    }
+    if (sentNow >= maxSent) {
+      return false;
+    }
+    PoolId id = request.admitted().route().pool();
+    Optional<Pool> pool = view.configuration().get().pool(id);
+    Choice choice = pool.map(p -> choose(request, p, now)).orElseGet(Choice.NoneInUse::new);
+    return switch (choice) {
+      case Choice.Chosen chosen -> {
+        send(request, chosen, pool.map(Pool::slots).orElse(1), now);
+        yield true;
+      }
+      case Choice.Busy ignored -> false;
+      case Choice.NoneInUse ignored -> {
+        refuse(request, new Refusal.NoTarget(id.value()));
+        yield true;
+      }
+    };
+  }
+
+  private Choice choose(InHand request, Pool pool, Now now) {
+    return chooser.choose(
+        pool, view.health().get(), request.admitted().idempotent(), request.previous(), now);
+  }
+
+  /** A request that waited may have lost its key or its instance's right to act on keys. */
+  private Optional<Refusal> refusalBeforeSend(InHand request, Now now) {
+    AdmittedRequest admitted = request.admitted();
+    if (!now.isBefore(admitted.deadline())) {
+      return Optional.of(new Refusal.DeadlineBeforeSend());
+    }
+    if (view.configuration().get().key(admitted.key()).isEmpty()) {
+      return Optional.of(new Refusal.WithdrawnKey());
+    }
+    return view.isFresh(now) ? Optional.empty() : Optional.of(new Refusal.StaleConfiguration());
+  }
+
+  private void send(InHand request, Choice.Chosen choice, int slots, Now now) {
+    if (request.stage() instanceof InHand.Stage.Waiting) {
+      table.dequeue(request);
+    }
+    request.startAttempt(choice.target().id());
+    counts.started(choice.target().id());
+    sentNow++;
+    String attempt = request.id() + "/" + attempts++;
+    TargetSender.Sending sending =
+        sender.send(
+            request.admitted(),
+            choice.target(),
+            request.attempts(),
+            slots,
+            event -> ring.offerReserved(new RoutingEvent.Sending(request, attempt, event)));
+    InHand.Stage.Sent sent = new InHand.Stage.Sent(attempt, choice.target(), sending, now);
+    request.enter(sent);
+    reports.chosen(request, sent, choice);
+  }
+
+  private void onSending(RoutingEvent.Sending message, Now now) {
+    InHand request = message.request();
+    switch (request.stage()) {
+      case InHand.Stage.Sent sent when sent.id().equals(message.attempt()) ->
+          onSent(request, sent, message.event(), now);
+      case InHand.Stage.Delivering delivering
+          when delivering.sent().id().equals(message.attempt()) ->
+          onDelivering(request, delivering, message.event(), now);
+      // The event of an attempt that was cancelled in the meantime.
+      default -> {}
+    }
+  }
+
+  private void onSent(InHand request, InHand.Stage.Sent sent, SendEvent event, Now now) {
+    switch (event) {
+      case SendEvent.Head head -> onHead(request, sent, head, now);
+      case SendEvent.ConnectFailed ignored ->
+          onFailure(request, sent, new SendResult.ConnectFailed(), now);
+      case SendEvent.Shed shed -> {
+        chooser.shed(sent.target().id(), shed.retryAfter(), now);
+        onFailure(request, sent, new SendResult.Shed(shed.retryAfter(), shed.draining()), now);
+      }
+      case SendEvent.Broken ignored -> onFailure(request, sent, new SendResult.Broken(), now);
+      // No head came before, so that there is nothing to give to the caller.
+      case SendEvent.Completed ignored -> onFailure(request, sent, new SendResult.Broken(), now);
+      case SendEvent.BodyTooLarge tooLarge -> {
+        endAttempt(request, sent, new SendResult.Cancelled(), now);
+        refuse(request, new Refusal.BodyTooLarge(tooLarge.limitBytes(), Outcome.UNKNOWN));
+      }
+      case SendEvent.CallerLeft ignored -> abandon(request, now);
+    }
+  }
+
+  private void onHead(InHand request, InHand.Stage.Sent sent, SendEvent.Head head, Now now) {
+    SendResult.Completed result = new SendResult.Completed(head.status(), head.draining());
+    switch (decide(request, sent, result, now)) {
+      case RetryDecision.Retry retry -> {
+        sent.sending().cancel();
+        endAttempt(request, sent, result, now);
+        backOff(request, result, retry.delay(), now);
+      }
+      case RetryDecision.GiveUp ignored -> deliver(request, sent, result, head, now);
+      case RetryDecision.Deliver ignored -> deliver(request, sent, result, head, now);
+      case RetryDecision.Drop ignored -> deliver(request, sent, result, head, now);
+    }
+  }
+
+  private void deliver(
+      InHand request,
+      InHand.Stage.Sent sent,
+      SendResult.Completed result,
+      SendEvent.Head head,
+      Now now) {
+    // Reported first: a repeat that arrives after the caller has its answer must find the claim.
+    if (head.answer().isPresent()) {
+      reports.claimEnded(request, Outcome.RUN, head.answer());
+    }
+    request.enter(new InHand.Stage.Delivering(sent, result, now.since(sent.startedAt())));
+    if (!sent.sending().deliver()) {
+      abandon(request, now);
+    }
+  }
+
+  private void onDelivering(
+      InHand request, InHand.Stage.Delivering delivering, SendEvent event, Now now) {
+    switch (event) {
+      case SendEvent.Completed ignored -> {
+        endAttempt(request, delivering.sent(), delivering.result(), delivering.timeToHead(), now);
+        finish(request, "status-" + delivering.result().status(), Outcome.RUN, now);
+      }
+      case SendEvent.Broken ignored -> {
+        SendResult broken = new SendResult.Broken();
+        endAttempt(request, delivering.sent(), broken, delivering.timeToHead(), now);
+        finish(request, "broken", Outcome.UNKNOWN, now);
+      }
+      case SendEvent.CallerLeft ignored -> abandon(request, now);
+      case SendEvent.BodyTooLarge ignored -> abandon(request, now);
+      // These come before the head only.
+      case SendEvent.Head ignored -> {}
+      case SendEvent.ConnectFailed ignored -> {}
+      case SendEvent.Shed ignored -> {}
+    }
+  }
+
+  private void onFailure(InHand request, InHand.Stage.Sent sent, SendResult result, Now now) {
+    RetryDecision decision = decide(request, sent, result, now);
+    endAttempt(request, sent, result, now);
+    switch (decision) {
+      case RetryDecision.Retry retry -> backOff(request, result, retry.delay(), now);
+      case RetryDecision.GiveUp giveUp -> refuse(request, giveUp.refusal());
+      case RetryDecision.Deliver ignored ->
+          refuse(request, new Refusal.TargetFailed(sent.target().id().value()));
+      case RetryDecision.Drop ignored -> abandon(request, now);
+    }
+  }
+
+  private RetryDecision decide(InHand request, InHand.Stage.Sent sent, SendResult result, Now now) {
+    AdmittedRequest admitted = request.admitted();
+    return retries.decide(
+        new RetryPolicy.Attempt(
+            admitted.route().pool(),
+            sent.target().id(),
+            request.attempts(),
+            admitted.idempotent() && sender.isRepeatable(admitted),
+            request.mayHaveRun(),
+            admitted.deadline()),
+        result,
+        now);
+  }
+
+  private void backOff(InHand request, SendResult result, Duration delay, Now now) {
+    reports.retried(request, result, delay);
+    table.backOff(request, now.plus(delay));
+  }
+
+  private void endAttempt(InHand request, InHand.Stage.Sent sent, SendResult result, Now now) {
+    endAttempt(request, sent, result, now.since(sent.startedAt()), now);
+  }
+
+  private void endAttempt(
+      InHand request, InHand.Stage.Sent sent, SendResult result, Duration timeToHead, Now now) {
+    counts.ended(sent.target().id());
+    sentNow--;
+    if (RetryPolicy.mayHaveRun(result)) {
+      request.noteMayHaveRun();
+    }
+    request.enter(new InHand.Stage.Waiting());
+    reports.ended(request, sent, result, timeToHead);
+    serve(request.admitted().route().pool(), now);
+  }
+
+  private void expire(InHand request, Now now) {
+    switch (request.stage()) {
+      case InHand.Stage.Sent sent -> {
+        sent.sending().cancel();
+        endAttempt(request, sent, new SendResult.TimedOut(), now);
+        refuse(request, new Refusal.DeadlineAfterSend(sent.target().id().value()));
+      }
+      case InHand.Stage.Delivering delivering -> cutResponse(request, delivering, now);
+      default -> refuse(request, new Refusal.DeadlineBeforeSend());
+    }
+  }
+
+  /** The time of a planned stop is over. */
+  private void cut(InHand request, Now now) {
+    switch (request.stage()) {
+      case InHand.Stage.Sent sent -> {
+        sent.sending().cancel();
+        endAttempt(request, sent, new SendResult.Cancelled(), now);
+        refuse(request, new Refusal.TargetFailed(sent.target().id().value()));
+      }
+      case InHand.Stage.Delivering delivering -> cutResponse(request, delivering, now);
+      default -> refuse(request, new Refusal.Stopping());
+    }
+  }
+
+  private void cutResponse(InHand request, InHand.Stage.Delivering delivering, Now now) {
+    delivering.sent().sending().cancel();
+    endAttempt(request, delivering.sent(), new SendResult.TimedOut(), delivering.timeToHead(), now);
+    finish(request, "cut", Outcome.UNKNOWN, now);
+  }
+
+  /** Ends a request whose caller left. */
+  private void abandon(InHand request, Now now) {
+    switch (request.stage()) {
+      case InHand.Stage.Sent sent -> {
+        sent.sending().cancel();
+        endAttempt(request, sent, new SendResult.Cancelled(), now);
+      }
+      case InHand.Stage.Delivering delivering -> {
+        delivering.sent().sending().cancel();
+        endAttempt(
+            request, delivering.sent(), new SendResult.Cancelled(), delivering.timeToHead(), now);
+      }
+      default -> {}
+    }
+    finish(request, "caller-gone", request.mayHaveRun() ? Outcome.UNKNOWN : Outcome.NOT_RUN, now);
+  }
+
+  private void refuseWithdrawnKeys() {
+    Configuration present = view.configuration().get();
+    if (present == known) {
+      return;
+    }
+    known = present;
+    retries.retain(present.pools().stream().map(Pool::id).toList());
+    table
+        .unsent(request -> present.key(request.admitted().key()).isEmpty())
+        .forEach(request -> refuse(request, new Refusal.WithdrawnKey()));
+  }
+
+  /** Refuses a request; one that an earlier attempt may have run is never called "not run". */
+  private void refuse(InHand request, Refusal refusal) {
+    Refusal told = request.mayHaveRun() ? afterSend(request, refusal) : refusal;
+    table.remove(request);
+    reports.claimEnded(request, told.outcome(), Optional.empty());
+    request.admitted().request().handle().refuse(told);
+  }
+
+  private static Refusal afterSend(InHand request, Refusal refusal) {
+    if (refusal.outcome() != Outcome.NOT_RUN) {
+      return refusal;
+    }
+    String target = request.previous().map(Object::toString).orElse("");
+    return refusal instanceof Refusal.DeadlineBeforeSend
+        ? new Refusal.DeadlineAfterSend(target)
+        : new Refusal.TargetFailed(target);
+  }
+
+  private void finish(InHand request, String result, Outcome outcome, Now now) {
+    table.remove(request);
+    reports.claimEnded(request, outcome, Optional.empty());
+    reports.completed(request, result, now);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/RoutingEvent.java
@@ -0,0 +1,25 @@
+package org.bergamotcross.entry.duties;
+
+import org.bergamotcross.entry.Broadcasts;
+import org.bergamotcross.entry.RoutingInput;
+import org.bergamotcross.entry.SendEvent;
+
+/** What the routing plug-in tells its own duty. */
+sealed interface RoutingEvent extends RoutingInput.Internal {
+
+  /**
+   * Something happened to an attempt; offered to the reserve.
+   *
+   * @param request the request
+   * @param attempt the id of the attempt
+   * @param event what happened
+   */
+  record Sending(InHand request, String attempt, SendEvent event) implements RoutingEvent {}
+
+  /**
+   * A peer told its requests in flight.
+   *
+   * @param report what it told
+   */
+  record PeerReported(Broadcasts.PeerInFlight report) implements RoutingEvent {}
+}
--- /dev/null
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/RoutingPlugin.java
@@ -0,0 +1,67 @@
+package org.bergamotcross.entry.duties;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import org.bergamotcross.core.config.Configuration;
+import org.bergamotcross.core.routing.HealthView;
+import org.bergamotcross.entry.Broadcasts;
+import org.bergamotcross.entry.EntrySettings;
+import org.bergamotcross.entry.RoutingInput;
+import org.bergamotcross.entry.TargetSender;
+import org.bergamotcross.entry.Topics;
+import org.bergamotcross.kernel.Now;
+import org.bergamotcross.kernel.Plugin;
+import org.bergamotcross.kernel.PluginContext;
+import org.bergamotcross.kernel.Ring;
+import org.bergamotcross.kernel.Setting;
+
+/** Runs the routing duty: queue, target, retries and deadline of each admitted request. */
+public final class RoutingPlugin implements Plugin {
+  private final AtomicReference<Configuration> configuration =
+      new AtomicReference<>(Configuration.EMPTY);
+  private final AtomicReference<HealthView> health =
+      new AtomicReference<>(new HealthView(Map.of()));
+  private final AtomicReference<Optional<Now>> freshUntil = new AtomicReference<>(Optional.empty());
+  private final AtomicReference<Optional<Now>> stopLimit = new AtomicReference<>(Optional.empty());
+
+  @Override
+  public String name() {
+    return "routing";
+  }
+
+  @Override
+  public List<Setting<?>> settings() {
+    return List.of(
+        EntrySettings.FAILURE_DOMAIN, EntrySettings.RING_CAPACITY, EntrySettings.QUEUE_CAPACITY);
+  }
+
+  @Override
+  public void configure(PluginContext context) {
+    Ring<RoutingInput> ring =
+        context.open(Topics.ROUTING, context.settings().value(EntrySettings.RING_CAPACITY));
+    // A report that finds no room is replaced by the next one.
+    context.subscribe(
+        Broadcasts.PEER_IN_FLIGHT, report -> ring.offer(new RoutingEvent.PeerReported(report)));
+    context.subscribe(Broadcasts.CONFIGURATION, configuration::set);
+    context.subscribe(Broadcasts.HEALTH, health::set);
+    context.subscribe(Broadcasts.FRESHNESS, f -> freshUntil.set(Optional.of(f.validUntil())));
+    context.subscribe(Broadcasts.STOPPING, s -> stopLimit.set(Optional.of(s.limit())));
+  }
+
+  @Override
+  public void start(PluginContext context) {
+    TargetSender sender =
+        context
+            .service(TargetSender.class)
+            .orElseThrow(() -> new IllegalStateException("no plug-in provides a target sender"));
+    RoutingView view =
+        new RoutingView(configuration::get, health::get, freshUntil::get, stopLimit::get);
+    Ring<RoutingInput> ring =
+        context
+            .ring(Topics.ROUTING)
+            .orElseThrow(() -> new IllegalStateException("the routing topic is not open"));
+    context.startDuty(Topics.ROUTING, new RoutingDuty(context, ring, sender, view));
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/RoutingReports.java
@@ -0,0 +1,121 @@
+package org.bergamotcross.entry.duties;
+
+import com.codahale.metrics.Timer;
+import java.time.Duration;
+import java.util.Optional;
+import org.bergamotcross.core.admission.Outcome;
+import org.bergamotcross.core.admission.StoredAnswer;
+import org.bergamotcross.core.routing.Choice;
+import org.bergamotcross.core.routing.SendResult;
+import org.bergamotcross.entry.AdmissionInput;
+import org.bergamotcross.entry.HealthInput;
+import org.bergamotcross.entry.Topics;
+import org.bergamotcross.kernel.EventLog;
+import org.bergamotcross.kernel.Now;
+import org.bergamotcross.kernel.PluginContext;
+import org.bergamotcross.kernel.Ring;
+
+/** Tells the log, the health duty and the admission duty what routing decided. */
+final class RoutingReports {
+  private final EventLog events;
+  private final Optional<Ring<HealthInput>> health;
+  private final Optional<Ring<AdmissionInput>> admission;
+  private final Timer total;
+
+  RoutingReports(PluginContext context) {
+    this.events = context.events();
+    this.health = context.ring(Topics.HEALTH);
+    this.admission = context.ring(Topics.ADMISSION);
+    this.total = context.metrics().timer("request.total");
+  }
+
+  /** Reports an attempt that is being sent. */
+  void chosen(InHand request, InHand.Stage.Sent sent, Choice.Chosen choice) {
+    events
+        .event("route.chosen")
+        .with("request", request.id())
+        .with("attempt", request.attempts())
+        .with("pool", request.admitted().route().pool())
+        .with("target", choice.target().id())
+        .with("reason", choice.trial() ? "trial" : "fewest-in-flight-of-two")
+        .with("in-flight", choice.knownInFlight())
+        .emit();
+    health.ifPresent(
+        ring ->
+            ring.offerReserved(
+                new HealthInput.Started(
+                    sent.id(), request.admitted().route().pool(), choice.target().id())));
+  }
+
+  /** Reports an attempt that ended. */
+  void ended(InHand request, InHand.Stage.Sent sent, SendResult result, Duration timeToHead) {
+    health.ifPresent(
+        ring ->
+            ring.offerReserved(
+                new HealthInput.Ended(
+                    sent.id(),
+                    request.admitted().route().pool(),
+                    sent.target().id(),
+                    result,
+                    timeToHead)));
+  }
+
+  /** Reports a request that waits for a target. */
+  void queued(InHand request) {
+    events
+        .event("route.queued")
+        .with("request", request.id())
+        .with("pool", request.admitted().route().pool())
+        .with("reason", "all-targets-busy")
+        .emit();
+  }
+
+  /** Reports a request that will be sent again. */
+  void retried(InHand request, SendResult result, Duration delay) {
+    events
+        .event("route.retried")
+        .with("request", request.id())
+        .with("attempt", request.attempts())
+        .with("target", request.previous())
+        .with("reason", reason(result))
+        .with("delay-ms", delay.toMillis())
+        .emit();
+  }
+
+  /** Reports a request whose response the caller got or stopped reading. */
+  void completed(InHand request, String result, Now now) {
+    Duration taken = now.since(request.admitted().request().receivedAt());
+    total.update(taken);
+    events
+        .event("request.completed")
+        .with("request", request.id())
+        .with("organisation", request.admitted().organisation())
+        .with("target", request.previous())
+        .with("attempts", request.attempts())
+        .with("result", result)
+        .with("total-us", taken.toNanos() / 1_000)
+        .emit();
+  }
+
+  /** Tells admission the end of a claimed request, once. */
+  void claimEnded(InHand request, Outcome outcome, Optional<StoredAnswer> answer) {
+    if (request.takeClaimReport()) {
+      admission.ifPresent(
+          ring ->
+              ring.offerReserved(
+                  new AdmissionInput.ClaimEnded(request.admitted(), outcome, answer)));
+    }
+  }
+
+  /** Names a result for the log. */
+  static String reason(SendResult result) {
+    return switch (result) {
+      case SendResult.Completed completed -> "status-" + completed.status();
+      case SendResult.Shed ignored -> "shed";
+      case SendResult.ConnectFailed ignored -> "connect-failed";
+      case SendResult.Broken ignored -> "broken";
+      case SendResult.TimedOut ignored -> "timed-out";
+      case SendResult.Cancelled ignored -> "cancelled";
+    };
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/bergamotcross/entry/http/CallerExchange.java
@@ -0,0 +1,157 @@
+package org.bergamotcross.entry.http;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.bergamotcross.core.admission.Refusal;
+import org.bergamotcross.core.admission.StoredAnswer;
+import org.bergamotcross.entry.RequestHandle;
+import org.bergamotcross.kernel.EventLog;
+
+/** One request of a caller and its one response; the first response that is given counts. */
+final class CallerExchange implements RequestHandle {
+
+  /** The caller closed its connection before it had a response. */
+  static final class CallerGoneException extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    CallerGoneException() {
+      super("the caller closed its connection", null, false, false);
+    }
+  }
+
+  private final HttpRequest request;
+  private final String id;
+  private final EventLog events;
+  private final BooleanSupplier closing;
+  private final AtomicInteger open;
+  private final AtomicBoolean counted = new AtomicBoolean(true);
+  private final CompletableFuture<HttpResponse> response = new CompletableFuture<>();
+
+  /**
+   * Opens an exchange.
+   *
+   * @param request the caller's request
+   * @param id the request id
+   * @param events the event log
+   * @param closing whether the caller shall open a new connection for its next request
+   * @param open counts the open exchanges
+   */
+  CallerExchange(
+      HttpRequest request,
+      String id,
+      EventLog events,
+      BooleanSupplier closing,
+      AtomicInteger open) {
+    this.request = request;
+    this.id = id;
+    this.events = events;
+    this.closing = closing;
+    this.open = open;
+    open.incrementAndGet();
+  }
+
+  /**
+   * Returns the request id.
+   *
+   * @return the id, which other open requests may share
+   */
+  String id() {
+    return id;
+  }
+
+  /**
+   * Returns the caller's request.
+   *
+   * @return the request with all its headers
+   */
+  HttpRequest request() {
+    return request;
+  }
+
+  /**
+   * Returns the response to come.
+   *
+   * @return completed once, with the response or with the reason why there is none
+   */
+  CompletionStage<HttpResponse> response() {
+    return response;
+  }
+
+  /**
+   * Gives a response whose body is a stream; {@link #ended} must follow.
+   *
+   * @param given the response
+   * @return whether it is the first one
+   */
+  boolean respondStream(HttpResponse given) {
+    return response.complete(closing.getAsBoolean() ? Responses.closing(given) : given);
+  }
+
+  /**
+   * Gives a response whose body is complete.
+   *
+   * @param given the response
+   * @return whether it is the first one
+   */
+  boolean respond(HttpResponse given) {
+    boolean first = respondStream(given);
+    if (first) {
+      ended();
+    }
+    return first;
+  }
+
+  /**
+   * Tells whether the caller still waits.
+   *
+   * @return whether there was no response yet and the caller is connected
+   */
+  boolean isAwaited() {
+    return !response.isDone();
+  }
+
+  /** Tells that the whole response was handed over, or that it never will be. */
+  void ended() {
+    if (counted.compareAndSet(true, false)) {
+      open.decrementAndGet();
+    }
+  }
+
+  /**
+   * Ends the exchange without a response, because nobody reads it.
+   *
+   * @return whether there was no response yet
+   */
+  boolean callerGone() {
+    boolean first = response.completeExceptionally(new CallerGoneException());
+    if (first) {
+      ended();
+    }
+    return first;
+  }
+
+  @Override
+  public void refuse(Refusal refusal) {
+    HttpResponse refused = Responses.refusal(id, refusal);
+    // A body that was not read would be taken for the next request.
+    boolean unread = !request.entity().isStrict();
+    if (respond(unread ? Responses.closing(refused) : refused)) {
+      events
+          .event("request.refused")
+          .with("request", id)
+          .with("refusal", refusal.code())
+          .with("outcome", refusal.outcome().text())
+          .emit();
+    }
+  }
+
+  @Override
+  public void answer(StoredAnswer answer) {
+    respond(Responses.stored(id, answer));
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/bergamotcross/entry/http/CallerHead.java
@@ -0,0 +1,113 @@
+package org.bergamotcross.entry.http;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.UUID;
+import java.util.regex.Pattern;
+import org.apache.pekko.http.javadsl.model.HttpHeader;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.bergamotcross.core.admission.Refusal;
+
+/**
+ * What the head of a request says to bergamotcross.
+ *
+ * @param id the request id, given by the caller or made here
+ * @param keys the different keys, as text
+ * @param idempotencyKey the idempotency key
+ * @param timeout the longest time that the caller allows
+ * @param problem the first header that can't be read
+ */
+record CallerHead(
+    String id,
+    List<String> keys,
+    Optional<String> idempotencyKey,
+    Optional<Duration> timeout,
+    Optional<Refusal> problem) {
+  static final String AUTHORIZATION = "authorization";
+  static final String API_KEY = "x-api-key";
+  static final String REQUEST_ID = "x-request-id";
+  static final String IDEMPOTENCY_KEY = "idempotency-key";
+  static final String TIMEOUT = "x-request-timeout-ms";
+
+  private static final String BEARER = "bearer ";
+  // Visible ASCII without quotes: ids go into log lines and headers as they are.
+  private static final Pattern TOKEN = Pattern.compile("[!#-~]{1,128}");
+  private static final Pattern MILLIS = Pattern.compile("[1-9]\\d{0,8}");
+
+  /**
+   * Reads the headers, whose names may come in any letter case.
+   *
+   * @param request the request
+   * @return the head
+   */
+  static CallerHead read(HttpRequest request) {
+    Reader reader = new Reader();
+    for (HttpHeader header : request.getHeaders()) {
+      reader.read(header.lowercaseName(), header.value().strip());
+    }
+    return new CallerHead(
+        reader.id.orElseGet(() -> UUID.randomUUID().toString()),
+        List.copyOf(reader.keys),
+        reader.idempotencyKey,
+        reader.timeout,
+        reader.problems.stream().findFirst());
+  }
+
+  private static final class Reader {
+    private final Set<String> keys = new LinkedHashSet<>();
+    private final List<Refusal> problems = new ArrayList<>();
+    private Optional<String> id = Optional.empty();
+    private Optional<String> idempotencyKey = Optional.empty();
+    private Optional<Duration> timeout = Optional.empty();
+
+    void read(String name, String value) {
+      switch (name) {
+        case AUTHORIZATION -> bearer(value).ifPresent(keys::add);
+        case API_KEY -> keys.add(value);
+        case REQUEST_ID ->
+            id = single(id, token(value), "X-Request-Id", "1 to 128 visible letters");
+        case IDEMPOTENCY_KEY ->
+            idempotencyKey =
+                single(idempotencyKey, token(value), "Idempotency-Key", "1 to 128 visible letters");
+        case TIMEOUT ->
+            timeout =
+                single(timeout, millis(value), "X-Request-Timeout-Ms", "a whole number above 0");
+        default -> {}
+      }
+    }
+
+    /** Two different values of one header have no right reading. */
+    private <T> Optional<T> single(
+        Optional<T> before, Optional<T> value, String header, String expected) {
+      if (value.isEmpty()) {
+        problems.add(new Refusal.BadRequestHeader(header, expected));
+        return before;
+      }
+      if (before.isPresent() && !before.equals(value)) {
+        problems.add(new Refusal.BadRequestHeader(header, "one value"));
+      }
+      return value;
+    }
+  }
+
+  private static Optional<String> bearer(String value) {
+    return value.toLowerCase(Locale.ROOT).startsWith(BEARER)
+        ? Optional.of(value.substring(BEARER.length()).strip())
+        : Optional.empty();
+  }
+
+  private static Optional<String> token(String value) {
+    return Optional.of(value).filter(v -> TOKEN.matcher(v).matches());
+  }
+
+  private static Optional<Duration> millis(String value) {
+    return Optional.of(value)
+        .filter(v -> MILLIS.matcher(v).matches())
+        .map(v -> Duration.ofMillis(Long.parseLong(v)));
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/bergamotcross/entry/http/FrontEndPlugin.java
@@ -0,0 +1,42 @@
+package org.bergamotcross.entry.http;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import org.bergamotcross.entry.Broadcasts;
+import org.bergamotcross.entry.EntrySettings;
+import org.bergamotcross.entry.OpenRequests;
+import org.bergamotcross.kernel.Plugin;
+import org.bergamotcross.kernel.PluginContext;
+import org.bergamotcross.kernel.PluginStartException;
+import org.bergamotcross.kernel.Setting;
+
+/** Listens to callers and hands their requests to admission. */
+public final class FrontEndPlugin implements Plugin {
+  @Override
+  public String name() {
+    return "front-end";
+  }
+
+  @Override
+  public List<Setting<?>> settings() {
+    return List.of(EntrySettings.CALLERS, EntrySettings.MAX_BODY_BYTES);
+  }
+
+  @Override
+  public void configure(PluginContext context) {
+    FrontEnd frontEnd = new FrontEnd(context);
+    context.provide(FrontEnd.class, frontEnd);
+    context.provide(OpenRequests.class, frontEnd);
+    context.subscribe(Broadcasts.STOPPING, stopping -> frontEnd.stop());
+  }
+
+  @Override
+  public void start(PluginContext context) throws PluginStartException {
+    InetSocketAddress address = context.settings().value(EntrySettings.CALLERS);
+    FrontEnd frontEnd =
+        context
+            .service(FrontEnd.class)
+            .orElseThrow(() -> new IllegalStateException("the front end is not configured"));
+    frontEnd.listen(address, context, Services.actorSystem(context));
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/bergamotcross/entry/http/Listener.java
@@ -0,0 +1,44 @@
+package org.bergamotcross.entry.http;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.apache.pekko.http.javadsl.ServerBinding;
+import org.bergamotcross.kernel.PluginStartException;
+
+/** Waits until a listening socket is open. */
+final class Listener {
+  private static final int BIND_LIMIT_SECONDS = 5;
+
+  private Listener() {}
+
+  /**
+   * Waits for a binding.
+   *
+   * @param binding the binding to come
+   * @param address the address, for the message
+   * @param setting the setting that names the address, for the message
+   * @return the binding
+   * @throws PluginStartException if the address can't be opened
+   */
+  static ServerBinding await(
+      CompletionStage<ServerBinding> binding, InetSocketAddress address, String setting)
+      throws PluginStartException {
+    try {
+      return binding.toCompletableFuture().get(BIND_LIMIT_SECONDS, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw failure(address, setting, e);
+    } catch (ExecutionException | TimeoutException e) {
+      throw failure(address, setting, e);
+    }
+  }
+
+  private static PluginStartException failure(
+      InetSocketAddress address, String setting, Exception cause) {
+    return new PluginStartException(
+        "can't listen on " + address + "; choose a free address in " + setting, cause);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/bergamotcross/entry/http/Responses.java
@@ -0,0 +1,188 @@
+package org.bergamotcross.entry.http;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.apache.pekko.http.javadsl.model.ContentType;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpEntities;
+import org.apache.pekko.http.javadsl.model.HttpHeader;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.ResponseEntity;
+import org.apache.pekko.http.javadsl.model.headers.Connection;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+import org.bergamotcross.core.admission.Refusal;
+import org.bergamotcross.core.admission.StoredAnswer;
+
+/** Builds the responses that callers get. */
+final class Responses {
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final String OWN_PREFIX = "x-bergamotcross-";
+  private static final Set<String> FROM_TARGET_ONLY =
+      Set.of("x-not-run", "x-draining", CallerHead.REQUEST_ID);
+
+  private Responses() {}
+
+  /**
+   * Encodes a refusal.
+   *
+   * @param requestId the request
+   * @param refusal the refusal
+   * @return the response
+   */
+  static HttpResponse refusal(String requestId, Refusal refusal) {
+    List<HttpHeader> headers = new ArrayList<>();
+    headers.add(RawHeader.create("X-Request-Id", requestId));
+    headers.add(RawHeader.create("X-Bergamotcross-Refusal", refusal.code()));
+    headers.add(RawHeader.create("X-Bergamotcross-Outcome", refusal.outcome().text()));
+    retryAfter(refusal)
+        .ifPresent(d -> headers.add(RawHeader.create("Retry-After", wholeSeconds(d))));
+    return HttpResponse.create()
+        .withStatus(status(refusal))
+        .withHeaders(headers)
+        .withEntity(HttpEntities.create(ContentTypes.APPLICATION_JSON, json(requestId, refusal)));
+  }
+
+  /**
+   * Encodes the kept answer to an earlier request with the same idempotency key.
+   *
+   * @param requestId the request
+   * @param answer the kept answer
+   * @return the response
+   */
+  static HttpResponse stored(String requestId, StoredAnswer answer) {
+    return HttpResponse.create()
+        .withStatus(answer.status())
+        .addHeader(RawHeader.create("X-Request-Id", requestId))
+        .withEntity(HttpEntities.create(contentType(answer.contentType()), answer.body()));
+  }
+
+  /**
+   * Encodes the response of a target.
+   *
+   * @param requestId the request
+   * @param response what the target sent
+   * @param entity the body to send
+   * @return the response without the headers that are not for callers
+   */
+  static HttpResponse fromTarget(String requestId, HttpResponse response, ResponseEntity entity) {
+    Set<String> dropped = HopByHop.names(response);
+    List<HttpHeader> headers = new ArrayList<>();
+    for (HttpHeader header : response.getHeaders()) {
+      String name = header.lowercaseName();
+      boolean own = FROM_TARGET_ONLY.contains(name) || name.startsWith(OWN_PREFIX);
+      if (!own && !dropped.contains(name)) {
+        headers.add(header);
+      }
+    }
+    headers.add(RawHeader.create("X-Request-Id", requestId));
+    return HttpResponse.create()
+        .withStatus(response.status())
+        .withHeaders(headers)
+        .withEntity(entity);
+  }
+
+  /**
+   * Asks the caller to open a new connection for its next request.
+   *
+   * @param response a response
+   * @return the response with {@code Connection: close}
+   */
+  static HttpResponse closing(HttpResponse response) {
+    return HopByHop.closes(response) ? response : response.addHeader(Connection.create("close"));
+  }
+
+  private static int status(Refusal refusal) {
+    return switch (refusal) {
+      case Refusal.MissingKey ignored -> 401;
+      case Refusal.UnknownKey ignored -> 401;
+      case Refusal.WithdrawnKey ignored -> 401;
+      case Refusal.ConflictingKeys ignored -> 401;
+      case Refusal.OrganisationNotAllowed ignored -> 403;
+      case Refusal.NoRoute ignored -> 404;
+      case Refusal.MethodNotAllowed ignored -> 405;
+      case Refusal.BadRequestHeader ignored -> 400;
+      case Refusal.BodyTooLarge ignored -> 413;
+      case Refusal.RateExceeded ignored -> 429;
+      case Refusal.Overloaded ignored -> 503;
+      case Refusal.NoTarget ignored -> 503;
+      case Refusal.Stopping ignored -> 503;
+      case Refusal.NotReady ignored -> 503;
+      case Refusal.StaleConfiguration ignored -> 503;
+      case Refusal.ClaimUnavailable ignored -> 503;
+      case Refusal.TargetRefused ignored -> 503;
+      case Refusal.DeadlineBeforeSend ignored -> 504;
+      case Refusal.DeadlineAfterSend ignored -> 504;
+      case Refusal.TargetFailed ignored -> 502;
+      case Refusal.AlreadyClaimed ignored -> 409;
+    };
+  }
+
+  /** Says what the caller can do; never contains a key. */
+  private static String detail(Refusal refusal) {
+    return switch (refusal) {
+      case Refusal.MissingKey ignored ->
+          "no key; send Authorization: Bearer <key> or X-Api-Key: <key>";
+      case Refusal.UnknownKey ignored -> "no organisation has this key";
+      case Refusal.WithdrawnKey ignored -> "this key was withdrawn";
+      case Refusal.ConflictingKeys ignored -> "two different keys; send one";
+      case Refusal.OrganisationNotAllowed r ->
+          "route " + r.route() + " is not open to the organisation of this key";
+      case Refusal.NoRoute r -> "no route has a path that starts " + r.path();
+      case Refusal.MethodNotAllowed r ->
+          "route " + r.route() + " does not take the method " + r.method();
+      case Refusal.BadRequestHeader r -> r.header() + " is wrong; expected " + r.expected();
+      case Refusal.BodyTooLarge r -> "the body is larger than " + r.limitBytes() + " bytes";
+      case Refusal.RateExceeded ignored -> "the organisation has used its rate and burst";
+      case Refusal.Overloaded r -> r.queue() + " is full; try again";
+      case Refusal.NoTarget r -> "no target of pool " + r.pool() + " may be used";
+      case Refusal.Stopping ignored -> "this instance is stopping; open a new connection";
+      case Refusal.NotReady ignored -> "this instance has no confirmed configuration yet";
+      case Refusal.StaleConfiguration ignored ->
+          "this instance can't confirm its configuration; use another one";
+      case Refusal.ClaimUnavailable r -> "the idempotency key can't be recorded: " + r.reason();
+      case Refusal.TargetRefused r -> "target " + r.target() + " did not run the request";
+      case Refusal.DeadlineBeforeSend ignored -> "the deadline passed before the request was sent";
+      case Refusal.DeadlineAfterSend r -> "the deadline passed while target " + r.target() + " ran";
+      case Refusal.TargetFailed r ->
+          "the connection to target " + r.target() + " broke before the response was complete";
+      case Refusal.AlreadyClaimed ignored -> "another attempt has the same idempotency key";
+    };
+  }
+
+  private static Optional<Duration> retryAfter(Refusal refusal) {
+    return switch (refusal) {
+      case Refusal.RateExceeded r -> Optional.of(r.retryAfter());
+      case Refusal.TargetRefused r -> r.retryAfter();
+      default -> Optional.empty();
+    };
+  }
+
+  private static String wholeSeconds(Duration duration) {
+    return Long.toString(Math.max(1, duration.plusMillis(999).toSeconds()));
+  }
+
+  private static byte[] json(String requestId, Refusal refusal) {
+    Map<String, String> body = new LinkedHashMap<>();
+    body.put("refusal", refusal.code());
+    body.put("outcome", refusal.outcome().text());
+    body.put("request", requestId);
+    body.put("detail", detail(refusal));
+    try {
+      return JSON.writeValueAsBytes(body);
+    } catch (JsonProcessingException e) {
+      return "{}".getBytes(StandardCharsets.UTF_8);
+    }
+  }
+
+  private static ContentType contentType(String text) {
+    return text.isEmpty() ? ContentTypes.NO_CONTENT_TYPE : ContentTypes.parse(text);
+  }
+}
--- /dev/null
+++ b/entry/src/test/java/org/bergamotcross/entry/path/Caller.java
@@ -0,0 +1,74 @@
+package org.bergamotcross.entry.path;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+
+/** A caller with one plain socket, so that a test sees exactly what comes back. */
+final class Caller implements AutoCloseable {
+  private static final int TIMEOUT_MS = 10_000;
+
+  private final Socket socket;
+  private final InputStream in;
+
+  Caller(int port) throws IOException {
+    this.socket = new Socket(InetAddress.getLoopbackAddress(), port);
+    socket.setTcpNoDelay(true);
+    socket.setSoTimeout(TIMEOUT_MS);
+    this.in = new BufferedInputStream(socket.getInputStream());
+  }
+
+  /** Sends a request without a body and reads the response. */
+  RawTarget.Received get(String path, String... headers) throws IOException {
+    send("GET " + path + " HTTP/1.1", "", headers);
+    return read();
+  }
+
+  /** Sends a request with a body and reads the response. */
+  RawTarget.Received send(String method, String path, String body, String... headers)
+      throws IOException {
+    send(method + " " + path + " HTTP/1.1\r\nContent-Length: " + body.length(), body, headers);
+    return read();
+  }
+
+  void send(String start, String body, String... headers) throws IOException {
+    StringBuilder text = new StringBuilder(start).append("\r\nHost: entry\r\n");
+    for (String header : headers) {
+      text.append(header).append("\r\n");
+    }
+    write(text.append("\r\n").append(body).toString());
+  }
+
+  void write(String text) throws IOException {
+    socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    socket.getOutputStream().flush();
+  }
+
+  /** Reads a response; its head is empty when the connection was closed before it. */
+  RawTarget.Received read() throws IOException {
+    return RawTarget.read(in);
+  }
+
+  static String key(String key) {
+    return "Authorization: Bearer " + key;
+  }
+
+  static int status(RawTarget.Received response) {
+    return response.head().isEmpty() ? 0 : Integer.parseInt(response.head().substring(9, 12));
+  }
+
+  /** Returns the refusal code and the outcome, for example {@code no-route/not-run}. */
+  static String refusal(RawTarget.Received response) {
+    return response.header("x-bergamotcross-refusal")
+        + "/"
+        + response.header("x-bergamotcross-outcome");
+  }
+
+  @Override
+  public void close() throws IOException {
+    socket.close();
+  }
+}
--- /dev/null
+++ b/entry/src/test/java/org/bergamotcross/entry/path/EntryProcess.java
@@ -0,0 +1,190 @@
+package org.bergamotcross.entry.path;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.bergamotcross.core.config.Configuration;
+import org.bergamotcross.core.config.Key;
+import org.bergamotcross.core.config.KeyHash;
+import org.bergamotcross.core.config.Organisation;
+import org.bergamotcross.core.config.OrganisationId;
+import org.bergamotcross.core.config.Pool;
+import org.bergamotcross.core.config.PoolId;
+import org.bergamotcross.core.config.Route;
+import org.bergamotcross.core.config.Target;
+import org.bergamotcross.core.config.TargetId;
+import org.bergamotcross.core.config.TeamSettings;
+import org.bergamotcross.core.membership.FailureDomain;
+import org.bergamotcross.core.membership.Members;
+import org.bergamotcross.entry.Broadcasts;
+import org.bergamotcross.entry.Broadcasts.Freshness;
+import org.bergamotcross.entry.OpenRequests;
+import org.bergamotcross.kernel.Kernel;
+import org.bergamotcross.kernel.Now;
+import org.bergamotcross.kernel.Plugin;
+import org.bergamotcross.kernel.PluginStartException;
+import org.bergamotcross.kernel.Settings;
+import org.bergamotcross.kernel.SettingsResult;
+import org.bergamotcross.kernel.TimeSource;
+
+/** The request path of an entry instance with real sockets, without log and peers. */
+final class EntryProcess implements AutoCloseable {
+  static final String KEY = "key-of-customer-1";
+  static final String OTHER_KEY = "key-of-customer-2";
+
+  private static final OrganisationId CUSTOMER = new OrganisationId("team/customer");
+  private static final OrganisationId OTHER = new OrganisationId("team/other");
+  private static final PoolId POOL = new PoolId("team/pool");
+
+  private final Kernel kernel;
+  private final int port;
+  private final int operationsPort;
+
+  private EntryProcess(Kernel kernel, int port, int operationsPort) {
+    this.kernel = kernel;
+    this.port = port;
+    this.operationsPort = operationsPort;
+  }
+
+  static EntryProcess start(List<Integer> targets) throws Exception {
+    return start(targets, 4096, 4);
+  }
+
+  static EntryProcess start(List<Integer> targets, int ringCapacity, int slots) throws Exception {
+    int port = freePort();
+    int operationsPort = freePort();
+    String text =
+        """
+        [instance]
+        id = entry-1
+        failure-domain = a
+        [listen]
+        callers = 127.0.0.1:%d
+        peers = 127.0.0.1:%d
+        operations = 127.0.0.1:%d
+        [limits]
+        ring-capacity = %d
+        queue-capacity = 4096
+        max-body-bytes = 100000
+        max-timeout-ms = 10000
+        """
+            .formatted(port, freePort(), operationsPort, ringCapacity);
+    List<Plugin> plugins =
+        Kernel.discoverPlugins().stream().filter(EntryProcess::isOnThePath).toList();
+    Kernel kernel = new Kernel(plugins, settings(text, plugins), TimeSource.system());
+    try {
+      kernel.start();
+    } catch (PluginStartException e) {
+      throw new IOException(e);
+    }
+    EntryProcess process = new EntryProcess(kernel, port, operationsPort);
+    process.configure(targets, slots, Set.of());
+    process.confirm(Duration.ofMinutes(10));
+    return process;
+  }
+
+  int port() {
+    return port;
+  }
+
+  int operationsPort() {
+    return operationsPort;
+  }
+
+  /** Publishes a configuration with two keys, an open route and one for the first customer. */
+  void configure(List<Integer> targets, int slots, Set<String> withdrawnKeys) {
+    List<Target> list = new ArrayList<>();
+    for (int target : targets) {
+      list.add(
+          new Target(
+              new TargetId("target-" + target), "127.0.0.1", target, new FailureDomain("a")));
+    }
+    TeamSettings team =
+        new TeamSettings(
+            "team",
+            List.of(
+                new Organisation(CUSTOMER, 100_000, 100_000),
+                new Organisation(OTHER, 100_000, 100_000)),
+            List.of(
+                new Key("k1", CUSTOMER, KeyHash.of(KEY)),
+                new Key("k2", OTHER, KeyHash.of(OTHER_KEY))),
+            List.of(new Pool(POOL, 0.5, slots, list)),
+            List.of(route("open", Set.of()), route("private", Set.of(CUSTOMER))));
+    Set<KeyHash> withdrawn = new LinkedHashSet<>();
+    withdrawnKeys.forEach(key -> withdrawn.add(KeyHash.of(key)));
+    kernel
+        .context()
+        .publish(
+            Broadcasts.CONFIGURATION,
+            Configuration.of(1, Map.of("team", team), withdrawn, Members.NONE));
+  }
+
+  /** Lets the instance act on its configuration for a time. */
+  void confirm(Duration time) {
+    kernel
+        .context()
+        .publish(Broadcasts.FRESHNESS, new Freshness(now().plus(time), Freshness.Source.LOG));
+  }
+
+  /** Starts a planned stop. */
+  void stop(Duration limit) {
+    kernel.context().publish(Broadcasts.STOPPING, new Broadcasts.Stopping(now().plus(limit)));
+  }
+
+  OpenRequests open() {
+    return kernel.context().service(OpenRequests.class).orElseThrow();
+  }
+
+  Kernel kernel() {
+    return kernel;
+  }
+
+  Now now() {
+    return kernel.context().time().now();
+  }
+
+  @Override
+  public void close() {
+    kernel.close();
+  }
+
+  static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return socket.getLocalPort();
+    }
+  }
+
+  private static boolean isOnThePath(Plugin plugin) {
+    return Set.of(
+            "actor-system", "admission", "routing", "target-client", "operations", "front-end")
+        .contains(plugin.name());
+  }
+
+  private static Settings settings(String text, List<Plugin> plugins) {
+    // Settings of plug-ins that are left out here are declared so that they may stand in the file.
+    List<Plugin> all = Kernel.discoverPlugins();
+    return switch (Settings.parse(
+        "test.ini", text, new LinkedHashSet<>(Kernel.settingsOf(all)), List.of())) {
+      case SettingsResult.Loaded loaded -> loaded.settings();
+      case SettingsResult.Rejected rejected ->
+          throw new IllegalStateException(plugins + " " + rejected.problems());
+    };
+  }
+
+  private static Route route(String name, Set<OrganisationId> organisations) {
+    return new Route(
+        "team/" + name,
+        "/team/" + name,
+        POOL,
+        Set.of("GET", "HEAD", "POST", "PUT"),
+        Set.of("GET", "HEAD", "PUT"),
+        organisations,
+        Duration.ofSeconds(8));
+  }
+}
--- /dev/null
+++ b/entry/src/test/java/org/bergamotcross/entry/path/RawTarget.java
@@ -0,0 +1,183 @@
+package org.bergamotcross.entry.path;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+/** A target that a test drives byte by byte, so that its answers can be wrong in any way. */
+final class RawTarget implements AutoCloseable {
+
+  /**
+   * A request as it came over the wire.
+   *
+   * @param head the request line and the headers
+   * @param body the body
+   */
+  record Received(String head, String body) {
+    /** Returns the last path segment, by which tests tell requests apart. */
+    String name() {
+      String path = head.substring(head.indexOf(' ') + 1, head.indexOf(" HTTP/"));
+      return path.substring(path.lastIndexOf('/') + 1);
+    }
+
+    String header(String name) {
+      return head.lines()
+          .filter(line -> line.toLowerCase(java.util.Locale.ROOT).startsWith(name + ":"))
+          .map(line -> line.substring(name.length() + 1).strip())
+          .findFirst()
+          .orElse("");
+    }
+  }
+
+  /** One accepted connection. */
+  record Connection(Socket socket, InputStream in, OutputStream out) {
+    void write(String text) throws IOException {
+      out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+      out.flush();
+    }
+
+    /** Waits until the other side closes; false when it sent something instead. */
+    boolean awaitClose() throws IOException {
+      try {
+        return in.read() < 0;
+      } catch (java.net.SocketException e) {
+        return true;
+      }
+    }
+
+    void close() throws IOException {
+      socket.close();
+    }
+  }
+
+  /** Decides what a connection answers. */
+  @FunctionalInterface
+  interface Behaviour {
+    void answer(Connection connection, Received request) throws Exception;
+  }
+
+  private final ServerSocket server;
+  private final Behaviour behaviour;
+  private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
+  private final List<Received> received = new CopyOnWriteArrayList<>();
+  private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+
+  RawTarget(Behaviour behaviour) throws IOException {
+    this.server = new ServerSocket(0, 256, InetAddress.getLoopbackAddress());
+    this.behaviour = behaviour;
+    threads.execute(this::accept);
+  }
+
+  /** Answers each request with its own name. */
+  static RawTarget echo() throws IOException {
+    return new RawTarget((connection, request) -> connection.write(ok(request.name())));
+  }
+
+  static String ok(String body) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+  }
+
+  int port() {
+    return server.getLocalPort();
+  }
+
+  List<Received> received() {
+    return received;
+  }
+
+  int connections() {
+    return sockets.size();
+  }
+
+  private void accept() {
+    while (!server.isClosed()) {
+      try {
+        Socket socket = server.accept();
+        socket.setTcpNoDelay(true);
+        sockets.add(socket);
+        threads.execute(() -> serve(socket));
+      } catch (IOException e) {
+        return;
+      }
+    }
+  }
+
+  private void serve(Socket socket) {
+    try (socket) {
+      Connection connection =
+          new Connection(
+              socket, new BufferedInputStream(socket.getInputStream()), socket.getOutputStream());
+      for (Received request = read(connection.in());
+          !request.head().isEmpty();
+          request = read(connection.in())) {
+        received.add(request);
+        behaviour.answer(connection, request);
+      }
+    } catch (Exception e) {
+      // The connection is over; the test looks at what the caller saw.
+    }
+  }
+
+  static Received read(InputStream in) throws IOException {
+    String head = readHead(in);
+    Received bare = new Received(head, "");
+    if (bare.header("transfer-encoding").equalsIgnoreCase("chunked")) {
+      return new Received(head, readChunks(in));
+    }
+    String length = bare.header("content-length");
+    int size = length.isEmpty() ? 0 : Integer.parseInt(length);
+    return new Received(head, new String(in.readNBytes(size), StandardCharsets.ISO_8859_1));
+  }
+
+  private static String readHead(InputStream in) throws IOException {
+    ByteArrayOutputStream head = new ByteArrayOutputStream();
+    while (!head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
+      int next = in.read();
+      if (next < 0) {
+        return "";
+      }
+      head.write(next);
+    }
+    return head.toString(StandardCharsets.ISO_8859_1);
+  }
+
+  private static String readChunks(InputStream in) throws IOException {
+    StringBuilder body = new StringBuilder();
+    for (int size = readSize(in); size > 0; size = readSize(in)) {
+      body.append(new String(in.readNBytes(size), StandardCharsets.ISO_8859_1));
+      in.readNBytes(2);
+    }
+    in.readNBytes(2);
+    return body.toString();
+  }
+
+  private static int readSize(InputStream in) throws IOException {
+    StringBuilder line = new StringBuilder();
+    for (int next = in.read(); next != '\n'; next = in.read()) {
+      if (next < 0) {
+        throw new IOException("the body was cut");
+      }
+      line.append((char) next);
+    }
+    return Integer.parseInt(line.toString().strip().split(";", -1)[0], 16);
+  }
+
+  @Override
+  public void close() throws IOException {
+    server.close();
+    for (Socket socket : sockets) {
+      socket.close();
+    }
+    threads.shutdownNow();
+  }
+}
