--- a/core/src/main/java/org/bergamotcross/core/membership/PeerWatch.java
+++ b/core/src/main/java/org/bergamotcross/core/membership/PeerWatch.java
@@ -19,6 +19,7 @@
   private final Map<InstanceId, Member> known = new HashMap<>();
   private final Map<InstanceId, Now> memberSince = new HashMap<>();
   private Optional<Now> majoritySince = Optional.empty();
+  private Optional<Now> updatedAt = Optional.empty();
 
   /**
    * Creates a watch that has heard nobody.
@@ -59,6 +60,13 @@
             entry ->
                 !known.containsKey(entry.getKey())
                     && now.since(entry.getValue()).compareTo(FreshnessTracker.VALIDITY) > 0);
+    boolean paused =
+        updatedAt.isPresent()
+            && now.since(updatedAt.get()).compareTo(FreshnessTracker.VALIDITY) > 0;
+    updatedAt = Optional.of(now);
+    if (paused) {
+      majoritySince = Optional.empty();
+    }
     if (heardCount(members, now) < members.majority()) {
       majoritySince = Optional.empty();
     } else if (majoritySince.isEmpty()) {
