--- a/entry/src/main/java/org/bergamotcross/entry/Broadcasts.java
+++ b/entry/src/main/java/org/bergamotcross/entry/Broadcasts.java
@@ -1,8 +1,10 @@
 package org.bergamotcross.entry;
 
+import java.util.Map;
 import java.util.Set;
 import org.bergamotcross.core.config.Configuration;
 import org.bergamotcross.core.config.TargetId;
+import org.bergamotcross.core.membership.InstanceId;
 import org.bergamotcross.core.membership.Member;
 import org.bergamotcross.core.routing.HealthView;
 import org.bergamotcross.kernel.Broadcast;
@@ -32,6 +34,9 @@
   public static final Broadcast<LeavingTargets> LEAVING_TARGETS =
       new Broadcast<>("leaving-targets");
 
+  /** What a peer told about its requests in flight; published by the health plug-in. */
+  public static final Broadcast<PeerInFlight> PEER_IN_FLIGHT = new Broadcast<>("peer-in-flight");
+
   private Broadcasts() {}
 
   /**
@@ -47,6 +52,20 @@
     }
   }
 
+  /**
+   * The requests of a peer that are in flight; replaces what it told before.
+   *
+   * @param peer the peer
+   * @param averages the average number of requests in flight by target, without those at 0
+   */
+  public record PeerInFlight(InstanceId peer, Map<TargetId, Double> averages) {
+
+    /** Copies the map. */
+    public PeerInFlight {
+      averages = Map.copyOf(averages);
+    }
+  }
+
   /**
    * How long keys, shares and claims may be used.
    *
