Recognise pages from before the record that was asked for

Cause: the stand-in's fault old-page answers a page that ends exactly at the offset asked for, which the reader took for the head of the log. Change: a page counts as the head only if it repeats nothing that was not asked for and ends at the highest offset that any page or append has shown. Conclusion: an old page without records is told only by a peer that is ahead.

--- a/core/src/main/java/org/bergamotcross/core/config/LogReader.java
+++ b/core/src/main/java/org/bergamotcross/core/config/LogReader.java
@@ -39,6 +39,23 @@
     record Unreadable(String reason) implements Content {}
   }
 
+  /**
+   * An answer of the log.
+   *
+   * @param from the first offset that was asked for
+   * @param earliest the oldest offset that the log retains
+   * @param next the offset that the next append gets
+   * @param entries the records in order
+   * @param full whether there are as many records as were asked for, so that more may follow
+   */
+  public record Page(long from, long earliest, long next, List<Entry> entries, boolean full) {
+
+    /** Copies the list. */
+    public Page {
+      entries = List.copyOf(entries);
+    }
+  }
+
   /**
    * What one record did.
    *
@@ -63,6 +80,7 @@
 
   private final ConfigurationFold fold;
   private Optional<Long> scanFrom = Optional.empty();
+  private long highestNext;
 
   /**
    * Creates a reader that starts at the offset after the folded one.
@@ -103,23 +121,37 @@
   /**
    * Takes a page of the log.
    *
-   * @param earliest the oldest offset that the log retains
-   * @param next the offset that the next append gets
-   * @param entries the records in order
-   * @param full whether the page has as many records as were asked for, so that more may follow
+   * @param page the page
    * @return what was folded, and whether the head is reached
    */
-  public PageResult page(long earliest, long next, List<Entry> entries, boolean full) {
-    resumeWhenCaughtUp(earliest);
-    if (earliest > fold.offset() + 1 && scanFrom.isEmpty()) {
-      scanFrom = Optional.of(earliest);
+  public PageResult page(Page page) {
+    highestNext = Math.max(highestNext, page.next());
+    resumeWhenCaughtUp(page.earliest());
+    if (page.earliest() > fold.offset() + 1 && scanFrom.isEmpty()) {
+      scanFrom = Optional.of(page.earliest());
     }
     if (scanFrom.isPresent()) {
-      return new PageResult(scan(earliest, entries), false);
+      return new PageResult(scan(page.earliest(), page.entries()), false);
     }
-    List<Step> steps = fold(entries);
-    // A page from the past ends before the folded offset, and confirms nothing.
-    return new PageResult(steps, !full && next == fold.offset() + 1);
+    List<Step> steps = fold(page.entries());
+    return new PageResult(steps, showsHead(page));
+  }
+
+  /**
+   * Takes an offset that the log has given to an append.
+   *
+   * @param offset the offset
+   */
+  public void appended(long offset) {
+    highestNext = Math.max(highestNext, offset + 1);
+  }
+
+  // A page from the past ends before what is known to exist, or repeats what was not asked for.
+  private boolean showsHead(Page page) {
+    return !page.full()
+        && page.next() == highestNext
+        && page.next() == fold.offset() + 1
+        && page.entries().stream().allMatch(entry -> entry.offset() >= page.from());
   }
 
   /**
--- a/core/src/test/java/org/bergamotcross/core/config/LogReaderTest.java
+++ b/core/src/test/java/org/bergamotcross/core/config/LogReaderTest.java
@@ -28,7 +28,12 @@
       reader.gone(earliest);
     }
     int from = (int) Math.min(reader.nextOffset(), log.size());
-    return reader.page(earliest, log.size(), log.subList(from, log.size()), false);
+    return page(from, earliest, log.size(), log.subList(from, log.size()));
+  }
+
+  private LogReader.PageResult page(
+      long from, long earliest, long next, List<LogReader.Entry> entries) {
+    return reader.page(new LogReader.Page(from, earliest, next, entries, false));
   }
 
   private void fillWithSnapshot() {
@@ -46,7 +51,7 @@
     void isReachedWhenThePageEndsAtTheFoldedOffset() {
       append(withdraw("w", "k"));
       assertThat(read(0).atHead()).isTrue();
-      assertThat(reader.page(0, 1, List.of(), false).atHead()).isTrue();
+      assertThat(page(1, 0, 1, List.of()).atHead()).isTrue();
     }
 
     // A page of the past must neither confirm the state nor bring it back.
@@ -55,17 +60,34 @@
       fillWithSnapshot();
       read(0);
       FoldState before = fold.state();
-      LogReader.PageResult old = reader.page(0, 2, log.subList(0, 2), false);
+      LogReader.PageResult old = page(5, 0, 2, log.subList(0, 2));
       assertThat(old.atHead()).isFalse();
       assertThat(old.steps().get(0).result()).isInstanceOf(FoldResult.AlreadyKnown.class);
       assertThat(fold.state()).isEqualTo(before);
     }
 
+    // A page from before the record that was asked for shows the asked offset as its end.
+    @Test
+    void isNotShownByAPageThatRepeatsWhatWasNotAskedFor() {
+      fillWithSnapshot();
+      read(0);
+      assertThat(page(5, 0, 5, log.subList(0, 5)).atHead()).isFalse();
+      assertThat(page(5, 0, 5, List.of()).atHead()).isTrue();
+    }
+
+    // The log has shown that it holds more than the page admits.
+    @Test
+    void isNotShownByAPageThatEndsBeforeAKnownRecord() {
+      append(withdraw("w", "k"));
+      reader.appended(3);
+      assertThat(read(0).atHead()).isFalse();
+    }
+
     @Test
     void isNotShownByAPageWithMoreBehindIt() {
       append(withdraw("w", "k"));
-      assertThat(reader.page(0, 1, log, true).atHead()).isFalse();
-      assertThat(reader.page(0, 2, List.of(), false).atHead()).isFalse();
+      assertThat(reader.page(new LogReader.Page(0, 0, 1, log, true)).atHead()).isFalse();
+      assertThat(page(1, 0, 2, List.of()).atHead()).isFalse();
     }
   }
 
@@ -121,7 +143,7 @@
       assertThat(fold.versions()).containsExactly("fuel", 1L);
       LogReader late = new LogReader(FoldFixture.fold());
       late.gone(1);
-      late.page(1, 4, log.subList(1, 4), false);
+      late.page(new LogReader.Page(1, 1, 4, log.subList(1, 4), false));
       assertThat(late.nextOffset()).isEqualTo(2);
     }
 
--- a/core/src/test/java/org/bergamotcross/core/config/ReaderAgreementTest.java
+++ b/core/src/test/java/org/bergamotcross/core/config/ReaderAgreementTest.java
@@ -82,7 +82,9 @@
       }
       int from = (int) Math.min(reader.nextOffset(), size);
       int to = Math.min(from + pageSize, size);
-      reader.page(earliest, size, log.entries.subList(from, to), to - from == pageSize);
+      reader.page(
+          new LogReader.Page(
+              from, earliest, size, log.entries.subList(from, to), to - from == pageSize));
     }
   }
 
@@ -96,7 +98,7 @@
       ConfigurationFold fold = FoldFixture.fold();
       LogReader reader = new LogReader(fold);
       readAll(reader, log, 0, pageSize);
-      reader.page(0, 1, log.entries.subList(0, 1), false);
+      reader.page(new LogReader.Page(0, 0, 1, log.entries.subList(0, 1), false));
       assertThat(fold.state()).isEqualTo(log.state());
     }
 
--- a/entry/src/main/java/org/bergamotcross/entry/duties/ConfigDuty.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/ConfigDuty.java
@@ -119,7 +119,7 @@
   private void readEnded(ConfigInput.ReadEnded ended, Now now) {
     follower.ended(ended, now);
     switch (ended.result()) {
-      case ReadResult.Page page -> page(page, ended.sentAt(), now);
+      case ReadResult.Page page -> page(page, ended, now);
       case ReadResult.Gone gone -> reader.gone(gone.earliest());
       case ReadResult.Unavailable unavailable -> readFailures.mark();
     }
@@ -127,15 +127,21 @@
     follower.poll(now);
   }
 
-  private void page(ReadResult.Page page, Now sentAt, Now now) {
+  private void page(ReadResult.Page page, ConfigInput.ReadEnded ended, Now now) {
     membership.retained(page.earliest());
     boolean full = page.records().size() >= LogFollower.MAX_RECORDS;
     LogReader.PageResult result =
-        reader.page(page.earliest(), page.next(), LogFollower.entries(page.records()), full);
+        reader.page(
+            new LogReader.Page(
+                ended.from(),
+                page.earliest(),
+                page.next(),
+                LogFollower.entries(page.records()),
+                full));
     folded(result.steps(), page.records(), now);
     if (result.atHead()) {
-      atHeadAt = Optional.of(sentAt);
-      freshness.logConfirmed(sentAt, fold.offset(), now);
+      atHeadAt = Optional.of(ended.sentAt());
+      freshness.logConfirmed(ended.sentAt(), fold.offset(), now);
     }
   }
 
@@ -230,7 +236,10 @@
   private void appendEnded(ConfigInput.AppendEnded ended) {
     EventLog.Event event = events.event("config.append").with("purpose", ended.purpose().name());
     switch (ended.result()) {
-      case AppendResult.Appended appended -> event.with("offset", appended.offset());
+      case AppendResult.Appended appended -> {
+        reader.appended(appended.offset());
+        event.with("offset", appended.offset());
+      }
       case AppendResult.Refused refused -> event.with("refused", refused.reason());
       case AppendResult.Unavailable unavailable -> event.with("failed", unavailable.reason());
       case AppendResult.OutcomeUnknown unknown -> event.with("unknown", unknown.reason());
--- a/entry/src/main/java/org/bergamotcross/entry/duties/ConfigInput.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/ConfigInput.java
@@ -14,9 +14,10 @@
    * A read of the log ended.
    *
    * @param sentAt when the read was sent
+   * @param from the first offset that was asked for
    * @param result the records, or why there are none
    */
-  record ReadEnded(Now sentAt, ReadResult result) implements ConfigInput {}
+  record ReadEnded(Now sentAt, long from, ReadResult result) implements ConfigInput {}
 
   /**
    * An append to the log ended.
--- a/entry/src/main/java/org/bergamotcross/entry/duties/LogFollower.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/LogFollower.java
@@ -46,9 +46,10 @@
       return;
     }
     openSince = Optional.of(now);
+    long from = reader.nextOffset();
     client
-        .read(PlatformClient.CONTROL_STREAM, reader.nextOffset(), MAX_RECORDS, WAIT)
-        .thenAccept(result -> ring.accept(new ConfigInput.ReadEnded(now, result)));
+        .read(PlatformClient.CONTROL_STREAM, from, MAX_RECORDS, WAIT)
+        .thenAccept(result -> ring.accept(new ConfigInput.ReadEnded(now, from, result)));
   }
 
   /**
