Add the health duty

Cause: the health state machines need a thread, peers and log lines. Change: HealthPlugin publishes HEALTH when a status changes and PEER_IN_FLIGHT when a peer tells its requests in flight; it sends evidence at once when a target becomes suspect, else what changed every 500 ms and at least once a second while anything is suspect, and nothing while all is well. HealthInput.Answering stops the age of an attempt at the head of the response: without it a slow caller of a long response would make a healthy target look stalled. A time in which this process did not run is not counted against open requests, and an attempt whose end was lost is forgotten after 90 s (no request lasts longer than 60 s).

--- a/core/src/main/java/org/bergamotcross/core/routing/OwnEvidence.java
+++ b/core/src/main/java/org/bergamotcross/core/routing/OwnEvidence.java
@@ -1,6 +1,7 @@
 package org.bergamotcross.core.routing;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -12,7 +13,11 @@
   private static final double NEWEST_SHARE = 0.2;
   private static final int FIRST_SERVER_ERROR = 500;
 
+  /** No request lasts longer than 60 s, so the end of an older one was lost. */
+  private static final Duration LOST_AFTER = Duration.ofSeconds(90);
+
   private final Map<String, Now> open = new LinkedHashMap<>();
+  private final Map<String, Now> answering = new HashMap<>();
   private final DecayingCount failures = new DecayingCount();
   private final DecayingCount ends = new DecayingCount();
   private OptionalDouble averageNanos = OptionalDouble.empty();
@@ -31,13 +36,21 @@
     open.put(attempt, now);
   }
 
-  /** Returns when the attempt started; nothing when it is unknown, as after a restart. */
-  Optional<Now> ended(
-      String attempt, SendResult result, Duration timeToHead, Duration threshold, Now now) {
+  /** From the head on, a slow caller can make the request last, so its age says nothing. */
+  void answering(String attempt) {
+    Now start = open.remove(attempt);
+    if (start != null) {
+      answering.put(attempt, start);
+    }
+  }
+
+  void ended(String attempt, SendResult result, Duration timeToHead, Duration threshold, Now now) {
     countOpen(now);
-    Optional<Now> start = Optional.ofNullable(open.remove(attempt));
-    start.ifPresent(s -> judge(s, result, timeToHead, threshold, now));
-    return start;
+    answering(attempt);
+    Now start = answering.remove(attempt);
+    if (start != null) {
+      judge(start, result, timeToHead, threshold, now);
+    }
   }
 
   private void judge(
@@ -83,8 +96,19 @@
     return known.filter(k -> k.isAfter(start)).orElse(start);
   }
 
+  /** Does not count a time in which this process did not run against the open requests. */
+  void skip(Duration pause, Now now) {
+    open.replaceAll(
+        (attempt, start) -> {
+          Now later = start.plus(pause);
+          return later.isAfter(now) ? now : later;
+        });
+  }
+
   /** Notes the latest start of an open request that is older than the threshold. */
   void update(Duration threshold, Now now) {
+    open.values().removeIf(start -> now.since(start).compareTo(LOST_AFTER) > 0);
+    answering.values().removeIf(start -> now.since(start).compareTo(LOST_AFTER) > 0);
     for (Now start : open.values()) {
       if (now.since(start).compareTo(threshold) < 0) {
         return;
@@ -133,7 +157,7 @@
   }
 
   private void countOpen(Now now) {
-    openNanos += (double) open.size() * now.since(countedUntil).toNanos();
+    openNanos += (double) (open.size() + answering.size()) * now.since(countedUntil).toNanos();
     countedUntil = now;
   }
 }
--- a/core/src/main/java/org/bergamotcross/core/routing/PoolHealth.java
+++ b/core/src/main/java/org/bergamotcross/core/routing/PoolHealth.java
@@ -48,6 +48,9 @@
   /** The routing duty may still use the old configuration for a moment. */
   private static final Duration REMOVED_MEMORY = Duration.ofSeconds(60);
 
+  /** After a pause of this process, answers that have arrived are still to be read. */
+  static final Duration PAUSE = Duration.ofMillis(300);
+
   private static final double LEAST_FAILURES = 0.1;
 
   private record Origin(long incarnation, long sequence) {}
@@ -65,6 +68,7 @@
   private long sequence;
   private boolean urgent;
   private boolean wasSuspicious;
+  private Now lastTick;
 
   /**
    * Creates the health of a pool whose targets are all taken to be healthy and warm.
@@ -81,6 +85,7 @@
     this.incarnation = incarnation;
     this.ownDomain = ownDomain;
     this.pool = pool;
+    this.lastTick = now;
     for (Target target : pool.targets()) {
       targets.put(target.id(), new TargetHealth(self, ownDomain, target, false, now));
     }
@@ -137,6 +142,19 @@
     return settle(decisions, now);
   }
 
+  /**
+   * Notes that the head of a response arrived; from then on the attempt does not count as stalled.
+   *
+   * @param attempt the attempt
+   * @param target the target
+   */
+  public void answering(String attempt, TargetId target) {
+    TargetHealth health = targets.get(target);
+    if (health != null) {
+      health.answering(attempt);
+    }
+  }
+
   /**
    * Notes the end of an attempt.
    *
@@ -193,6 +211,11 @@
    */
   public List<HealthDecision> tick(Now now) {
     List<HealthDecision> decisions = new ArrayList<>(0);
+    Duration sinceTick = now.since(lastTick);
+    if (sinceTick.compareTo(PAUSE) > 0) {
+      targets.values().forEach(target -> target.own().skip(sinceTick, now));
+    }
+    lastTick = now;
     usual.update(targets.values().stream().map(TargetHealth::own).toList(), now);
     for (TargetHealth target : targets.values()) {
       boolean stalled = target.ownObservation(now).stalledSince(target.cleanSince());
--- a/core/src/main/java/org/bergamotcross/core/routing/TargetHealth.java
+++ b/core/src/main/java/org/bergamotcross/core/routing/TargetHealth.java
@@ -132,6 +132,10 @@
     }
   }
 
+  void answering(String attempt) {
+    own.answering(attempt);
+  }
+
   void ended(
       String attempt,
       SendResult result,
--- a/core/src/test/java/org/bergamotcross/core/routing/HealthHarness.java
+++ b/core/src/test/java/org/bergamotcross/core/routing/HealthHarness.java
@@ -42,6 +42,11 @@
     }
   }
 
+  /** Lets time pass without a tick, as when the process is paused. */
+  void freeze(Duration duration) {
+    now = now.plus(duration);
+  }
+
   void stepWallClock(Duration step) {
     now = new Now(now.monotonicNanos(), now.wallMillis() + step.toMillis());
   }
--- a/core/src/test/java/org/bergamotcross/core/routing/PoolHealthTest.java
+++ b/core/src/test/java/org/bergamotcross/core/routing/PoolHealthTest.java
@@ -84,6 +84,19 @@
       assertThat(near.ejected()).containsExactly(Fixtures.id(0));
     }
 
+    // Guards against an ejection because a caller reads a long response slowly.
+    @Test
+    void isNotConcludedAfterTheHeadOfTheResponse() {
+      near.successes(1, 2);
+      String attempt = near.start(0);
+      near.pass(FAST);
+      near.health.answering(attempt, Fixtures.id(0));
+      near.pass(Duration.ofSeconds(5));
+      near.end(attempt, 0, OK, FAST);
+      near.pass(SECOND);
+      assertThat(near.decisions).isEmpty();
+    }
+
     // Guards against a decision that depends on the wall clock, which can step by hours.
     @Test
     void isDetectedAcrossAStepOfTheWallClock() {
@@ -98,6 +111,32 @@
     }
   }
 
+  @Nested
+  class Pause {
+    // Guards against ejections by an instance that was paused while the answers arrived.
+    @Test
+    void ofThisProcessIsNotCounted() {
+      near.successes(1, 2);
+      String attempt = near.start(0);
+      near.freeze(Duration.ofSeconds(5));
+      near.pass(Duration.ofMillis(100));
+      assertThat(near.decisions).isEmpty();
+      near.end(attempt, 0, OK, Duration.ofMillis(5_100));
+      near.pass(SECOND);
+      assertThat(near.decisions).isEmpty();
+    }
+
+    // Guards against an attempt whose end was lost and that counts as stalled for ever.
+    @Test
+    void ofTheEndOfAnAttemptIsForgotten() {
+      near.start(0);
+      near.pass(Duration.ofSeconds(95));
+      near.request(0, OK);
+      near.pass(Duration.ofSeconds(90));
+      assertThat(near.status(0)).isEqualTo(IN_USE);
+    }
+  }
+
   @Nested
   class SlowEverywhere {
     // Guards against ejections for a fault that all targets share, such as a slow database.
--- a/entry/src/main/java/org/bergamotcross/entry/HealthInput.java
+++ b/entry/src/main/java/org/bergamotcross/entry/HealthInput.java
@@ -17,6 +17,16 @@
    */
   record Started(String attempt, PoolId pool, TargetId target) implements HealthInput {}
 
+  /**
+   * The head of the response arrived; from then on a slow caller can make the attempt last, so that
+   * its age says nothing about the target. Offered to the reserve.
+   *
+   * @param attempt the attempt
+   * @param pool the pool
+   * @param target the target
+   */
+  record Answering(String attempt, PoolId pool, TargetId target) implements HealthInput {}
+
   /**
    * An attempt ended; offered to the reserve.
    *
--- /dev/null
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/EvidenceMessage.java
@@ -0,0 +1,83 @@
+package org.bergamotcross.entry.duties;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.bergamotcross.core.config.PoolId;
+import org.bergamotcross.core.config.TargetId;
+import org.bergamotcross.core.membership.FailureDomain;
+import org.bergamotcross.core.routing.PoolReport;
+import org.bergamotcross.core.routing.TargetEvidence;
+import org.bergamotcross.entry.PeerExchange.Sender;
+
+/**
+ * A {@link PoolReport} as it travels between instances; the observer is the sender. Times are in
+ * milliseconds.
+ */
+record EvidenceMessage(
+    String failureDomain,
+    long sequence,
+    String pool,
+    Optional<Long> usualMillis,
+    List<Item> targets) {
+  static final String KIND = "evidence";
+
+  /** A {@link TargetEvidence}. */
+  record Item(
+      String target,
+      Optional<Long> stallMillis,
+      Optional<Long> successMillis,
+      Optional<Long> failureMillis,
+      double failures,
+      double ends,
+      Optional<Long> trialMillis,
+      int round,
+      boolean draining) {
+
+    private static Item of(TargetEvidence evidence) {
+      return new Item(
+          evidence.target().value(),
+          evidence.stallAge().map(Duration::toMillis),
+          evidence.successAge().map(Duration::toMillis),
+          evidence.failureAge().map(Duration::toMillis),
+          evidence.failures(),
+          evidence.ends(),
+          evidence.trialAge().map(Duration::toMillis),
+          evidence.round(),
+          evidence.draining());
+    }
+
+    private TargetEvidence evidence() {
+      return new TargetEvidence(
+          new TargetId(target),
+          stallMillis.map(Duration::ofMillis),
+          successMillis.map(Duration::ofMillis),
+          failureMillis.map(Duration::ofMillis),
+          failures,
+          ends,
+          trialMillis.map(Duration::ofMillis),
+          round,
+          draining);
+    }
+  }
+
+  static EvidenceMessage of(PoolReport report) {
+    return new EvidenceMessage(
+        report.failureDomain().value(),
+        report.sequence(),
+        report.pool().value(),
+        report.usualLatency().map(Duration::toMillis),
+        report.targets().stream().map(Item::of).toList());
+  }
+
+  PoolReport report(Sender from) {
+    return new PoolReport(
+        from.id(),
+        from.incarnation(),
+        new FailureDomain(failureDomain),
+        sequence,
+        new PoolId(pool),
+        usualMillis.map(Duration::ofMillis),
+        targets.stream().map(Item::evidence).toList());
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/HealthLog.java
@@ -0,0 +1,62 @@
+package org.bergamotcross.entry.duties;
+
+import java.util.Locale;
+import org.bergamotcross.core.config.PoolId;
+import org.bergamotcross.core.routing.HealthDecision;
+import org.bergamotcross.kernel.EventLog;
+
+/** Writes one line for each decision about a target. */
+final class HealthLog {
+  private final EventLog events;
+
+  HealthLog(EventLog events) {
+    this.events = events;
+  }
+
+  void write(PoolId pool, HealthDecision decision) {
+    switch (decision) {
+      case HealthDecision.Ejected ejected ->
+          event("target.ejected", pool, decision, ejected.evidence())
+              .with("left", ejected.left())
+              .with("trial-in-ms", ejected.retryIn().toMillis())
+              .emit();
+      case HealthDecision.PathFault fault ->
+          event("target.path-fault", pool, decision, fault.evidence())
+              .with("left", fault.left())
+              .emit();
+      case HealthDecision.EjectionRefused refused ->
+          event("target.ejection-refused", pool, decision, refused.evidence())
+              .with("left", refused.left())
+              .with("floor", refused.floor())
+              .emit();
+      case HealthDecision.TrialStarted trial ->
+          event("target.trial", pool, decision).with("round", trial.round()).emit();
+      case HealthDecision.TrialFailed failed ->
+          event("target.trial-failed", pool, decision)
+              .with("trial-in-ms", failed.retryIn().toMillis())
+              .emit();
+      case HealthDecision.Readmitted readmitted ->
+          event("target.readmitted", pool, decision)
+              .with("cause", readmitted.cause().text())
+              .with("weight", readmitted.weight())
+              .emit();
+      case HealthDecision.Left ignored -> event("target.leaving", pool, decision).emit();
+    }
+  }
+
+  private EventLog.Event event(String name, PoolId pool, HealthDecision decision) {
+    return events.event(name).with("target", decision.target()).with("pool", pool);
+  }
+
+  private EventLog.Event event(
+      String name, PoolId pool, HealthDecision decision, HealthDecision.Evidence evidence) {
+    return event(name, pool, decision)
+        .with("fault", evidence.kind().text())
+        .with("observers", evidence.observers())
+        .with("failure-domains", evidence.failureDomains())
+        .with("age-ms", evidence.age().toMillis())
+        .with("failures", String.format(Locale.ROOT, "%.1f", evidence.failures()))
+        .with("ends", String.format(Locale.ROOT, "%.1f", evidence.ends()))
+        .with("threshold-ms", evidence.stallThreshold().toMillis());
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/HealthMessage.java
@@ -0,0 +1,20 @@
+package org.bergamotcross.entry.duties;
+
+import java.util.Set;
+import org.bergamotcross.core.config.Configuration;
+import org.bergamotcross.core.config.TargetId;
+import org.bergamotcross.core.routing.PoolReport;
+import org.bergamotcross.entry.HealthInput;
+
+/** The messages that only the health plug-in sends to its duty. */
+sealed interface HealthMessage extends HealthInput.Internal {
+
+  /** Another configuration is in force. */
+  record Configured(Configuration configuration) implements HealthMessage {}
+
+  /** The list shows these targets as leaving. */
+  record Leaving(Set<TargetId> targets) implements HealthMessage {}
+
+  /** A peer reported about a pool. */
+  record Reported(PoolReport report) implements HealthMessage {}
+}
--- /dev/null
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/HealthPlugin.java
@@ -0,0 +1,73 @@
+package org.bergamotcross.entry.duties;
+
+import java.util.List;
+import org.bergamotcross.core.membership.FailureDomain;
+import org.bergamotcross.core.membership.InstanceId;
+import org.bergamotcross.entry.Broadcasts;
+import org.bergamotcross.entry.HealthInput;
+import org.bergamotcross.entry.PeerExchange;
+import org.bergamotcross.entry.Topics;
+import org.bergamotcross.kernel.Plugin;
+import org.bergamotcross.kernel.PluginContext;
+import org.bergamotcross.kernel.Ring;
+import org.bergamotcross.kernel.Setting;
+
+/** Runs the health duty: learns from the requests of this instance and from its peers. */
+public final class HealthPlugin implements Plugin {
+  private static final Setting<String> ID = Setting.name("instance", "id");
+  private static final Setting<String> FAILURE_DOMAIN = Setting.name("instance", "failure-domain");
+
+  // Two messages for each attempt; a second of 4,000 requests fits while the thread is busy.
+  private static final int RING_CAPACITY = 16_384;
+
+  private Ring<HealthInput> ring;
+
+  /** Creates the plug-in; the kernel does it. */
+  public HealthPlugin() {}
+
+  @Override
+  public String name() {
+    return "health";
+  }
+
+  @Override
+  public List<Setting<?>> settings() {
+    return List.of(ID, FAILURE_DOMAIN);
+  }
+
+  @Override
+  public void configure(PluginContext context) {
+    ring = context.open(Topics.HEALTH, RING_CAPACITY);
+    context.subscribe(
+        Broadcasts.CONFIGURATION,
+        configuration -> ring.offerReserved(new HealthMessage.Configured(configuration)));
+  }
+
+  @Override
+  public void start(PluginContext context) {
+    PeerExchange exchange =
+        context
+            .service(PeerExchange.class)
+            .orElseThrow(() -> new IllegalStateException("no plug-in provides the peer exchange"));
+    exchange.handle(
+        EvidenceMessage.KIND,
+        EvidenceMessage.class,
+        (from, message) -> ring.offer(new HealthMessage.Reported(message.report(from))));
+    exchange.handle(
+        InFlightMessage.KIND,
+        InFlightMessage.class,
+        (from, message) ->
+            context.publish(
+                Broadcasts.PEER_IN_FLIGHT,
+                new Broadcasts.PeerInFlight(from.id(), message.averages())));
+    context.startDuty(
+        Topics.HEALTH,
+        new HealthDuty(
+            new InstanceId(context.settings().value(ID)),
+            new FailureDomain(context.settings().value(FAILURE_DOMAIN)),
+            exchange,
+            view -> context.publish(Broadcasts.HEALTH, view),
+            new HealthLog(context.events()),
+            context.time().now()));
+  }
+}
--- /dev/null
+++ b/entry/src/test/java/org/bergamotcross/entry/duties/HealthDutyTest.java
@@ -0,0 +1,214 @@
+package org.bergamotcross.entry.duties;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.bergamotcross.core.config.Configuration;
+import org.bergamotcross.core.config.Pool;
+import org.bergamotcross.core.config.PoolId;
+import org.bergamotcross.core.config.Target;
+import org.bergamotcross.core.config.TargetId;
+import org.bergamotcross.core.config.TeamSettings;
+import org.bergamotcross.core.membership.FailureDomain;
+import org.bergamotcross.core.membership.InstanceId;
+import org.bergamotcross.core.membership.Members;
+import org.bergamotcross.core.routing.HealthView;
+import org.bergamotcross.core.routing.SendResult;
+import org.bergamotcross.core.routing.TargetStatus;
+import org.bergamotcross.entry.HealthInput;
+import org.bergamotcross.entry.PeerExchange;
+import org.bergamotcross.kernel.EventLog;
+import org.bergamotcross.kernel.Now;
+import org.bergamotcross.kernel.Offer;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+
+class HealthDutyTest {
+  private static final PoolId POOL = new PoolId("team/pool");
+  private static final TargetStatus EJECTED = new TargetStatus.Avoided(TargetStatus.Reason.EJECTED);
+  private static final PeerExchange.Sender FIRST =
+      new PeerExchange.Sender(new InstanceId("first"), 1);
+
+  private final List<Record> sent = new ArrayList<>();
+  private final List<HealthView> views = new ArrayList<>();
+  private final List<HealthView> secondViews = new ArrayList<>();
+  private final HealthDuty duty = duty("first", views, sent);
+  private Now now = Now.ofMillis(10_000);
+
+  private static HealthDuty duty(String id, List<HealthView> views, List<Record> sent) {
+    return new HealthDuty(
+        new InstanceId(id),
+        new FailureDomain("d-" + id),
+        new RecordingExchange(sent),
+        views::add,
+        new HealthLog(new EventLog(new MetricRegistry())),
+        Now.ofMillis(10_000));
+  }
+
+  private record RecordingExchange(List<Record> sent) implements PeerExchange {
+    @Override
+    public <T extends Record> void handle(String kind, Class<T> type, Handler<T> handler) {}
+
+    @Override
+    public Offer send(InstanceId to, String kind, Record message) {
+      return new Offer.Accepted();
+    }
+
+    @Override
+    public void sendAll(String kind, Record message) {
+      sent.add(message);
+    }
+
+    @Override
+    public long incarnation() {
+      return 1;
+    }
+  }
+
+  private static TargetId id(int index) {
+    return new TargetId("t" + index);
+  }
+
+  private static HealthMessage configured(int targets) {
+    List<Target> list = new ArrayList<>();
+    for (int i = 0; i < targets; i++) {
+      list.add(new Target(id(i), "127.0.0.1", 9000 + i, new FailureDomain("d" + i % 3)));
+    }
+    Pool pool = new Pool(POOL, 0.5, 4, list);
+    TeamSettings team = new TeamSettings("team", List.of(), List.of(), List.of(pool), List.of());
+    return new HealthMessage.Configured(
+        Configuration.of(1, Map.of("team", team), Set.of(), Members.NONE));
+  }
+
+  private void pass(HealthDuty any, Duration time) {
+    Now end = now.plus(time);
+    while (now.isBefore(end)) {
+      now = now.plus(HealthDuty.TICK);
+      any.onTick(now);
+    }
+  }
+
+  private void succeed(int target) {
+    duty.onMessage(new HealthInput.Started("ok" + target, POOL, id(target)), now);
+    duty.onMessage(
+        new HealthInput.Ended(
+            "ok" + target,
+            POOL,
+            id(target),
+            new SendResult.Completed(200, false),
+            Duration.ofMillis(20)),
+        now);
+  }
+
+  private void stall() {
+    succeed(1);
+    succeed(2);
+    duty.onMessage(new HealthInput.Started("r1", POOL, id(0)), now);
+    pass(duty, Duration.ofMillis(450));
+  }
+
+  private <T> List<T> sent(Class<T> type) {
+    return sent.stream().filter(type::isInstance).map(type::cast).toList();
+  }
+
+  @BeforeEach
+  void configure() {
+    duty.onMessage(configured(6), now);
+  }
+
+  @Nested
+  class Views {
+    // Guards against a routing duty that learns of a stall late.
+    @Test
+    void arePublishedWhenAStatusChanges() {
+      stall();
+      assertThat(views).hasSize(1);
+      assertThat(views.getLast().status(id(0))).isEqualTo(EJECTED);
+    }
+
+    // Guards against work for leaving targets, also when the pool is configured later.
+    @Test
+    void showLeavingTargets() {
+      duty.onMessage(new HealthMessage.Leaving(Set.of(id(5), id(6))), now);
+      duty.onMessage(configured(7), now);
+      TargetStatus leaving = new TargetStatus.Avoided(TargetStatus.Reason.LEAVING);
+      assertThat(views.getLast().status(id(5))).isEqualTo(leaving);
+      assertThat(views.getLast().status(id(6))).isEqualTo(leaving);
+    }
+
+    // Guards against the status of targets whose pool is gone.
+    @Test
+    void forgetRemovedPools() {
+      stall();
+      duty.onMessage(new HealthMessage.Configured(Configuration.EMPTY), now);
+      assertThat(views.getLast().statuses()).isEmpty();
+    }
+  }
+
+  @Nested
+  class Evidence {
+    // Guards against peers that go on using a stalled target: at once, not with the next beat.
+    @Test
+    void isSentAtOnceAndThenRarely() {
+      stall();
+      assertThat(sent(EvidenceMessage.class)).hasSize(1);
+      pass(duty, Duration.ofMillis(400));
+      assertThat(sent(EvidenceMessage.class)).hasSize(1);
+      pass(duty, Duration.ofSeconds(3));
+      assertThat(sent(EvidenceMessage.class).size()).isAtMost(5);
+    }
+
+    // Guards against messages while there is nothing to tell.
+    @Test
+    void isNotSentWhileAllIsWell() {
+      succeed(1);
+      pass(duty, Duration.ofSeconds(3));
+      assertThat(sent(EvidenceMessage.class)).isEmpty();
+    }
+
+    // Guards against evidence that is lost or changed by its encoding.
+    @Test
+    void survivesMessagePackAndEjectsAtThePeer() throws IOException {
+      stall();
+      ObjectMapper mapper =
+          new ObjectMapper(new MessagePackFactory()).registerModule(new Jdk8Module());
+      EvidenceMessage message = sent(EvidenceMessage.class).getLast();
+      byte[] bytes = mapper.writeValueAsBytes(message);
+      EvidenceMessage decoded = mapper.readValue(bytes, EvidenceMessage.class);
+      assertThat(decoded).isEqualTo(message);
+      HealthDuty second = duty("second", secondViews, new ArrayList<>());
+      second.onMessage(configured(6), now);
+      second.onMessage(new HealthMessage.Reported(decoded.report(FIRST)), now);
+      pass(second, Duration.ofMillis(200));
+      assertThat(secondViews.getLast().status(id(0))).isEqualTo(EJECTED);
+    }
+  }
+
+  @Nested
+  class InFlight {
+    // Guards against peers that overload a target because they don't know the others' requests.
+    @Test
+    void isToldEvery500MillisAndOnceWhenItEnds() {
+      duty.onMessage(new HealthInput.Started("r1", POOL, id(0)), now);
+      pass(duty, Duration.ofMillis(500));
+      assertThat(sent(InFlightMessage.class).getLast().averages()).containsExactly(id(0), 1.0);
+      duty.onMessage(
+          new HealthInput.Ended(
+              "r1", POOL, id(0), new SendResult.Cancelled(), Duration.ofMillis(500)),
+          now);
+      pass(duty, Duration.ofSeconds(5));
+      assertThat(sent(InFlightMessage.class)).hasSize(2);
+      assertThat(sent(InFlightMessage.class).getLast().averages()).isEmpty();
+    }
+  }
+}
