--- a/entry/src/main/java/org/bergamotcross/entry/duties/HealthPlugin.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/HealthPlugin.java
@@ -41,6 +41,9 @@
     context.subscribe(
         Broadcasts.CONFIGURATION,
         configuration -> ring.offerReserved(new HealthMessage.Configured(configuration)));
+    context.subscribe(
+        Broadcasts.LEAVING_TARGETS,
+        list -> ring.offerReserved(new HealthMessage.Leaving(list.targets())));
   }
 
   @Override
--- a/entry/src/main/java/org/bergamotcross/entry/duties/package-info.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/package-info.java
@@ -1,2 +1,2 @@
-/** The duties of an entry instance that run the decisions of core on threads of their own. */
+/** The plug-ins that run the duties of an entry instance. */
 package org.bergamotcross.entry.duties;
