Decide on rates and claims in the admission duty

Cause: the duty checked key, route and deadline only; rates and claims were state machines without messages or requests.

Change: the duty drives RateAdmission, ClaimHolder and one ClaimCoordinator for each claimed request over the PeerExchange service. Waiting requests end when their key is withdrawn, their caller leaves or their time is over. The config duty now publishes each change of members by itself: two changes at once look like missed records, and every holder would have to learn its history anew.

Ruled out: reading the configuration from a shared reference, because the freshness could then reach the duty before the configuration it rests on.

--- a/core/src/main/java/org/bergamotcross/core/admission/BorrowedTokens.java
+++ b/core/src/main/java/org/bergamotcross/core/admission/BorrowedTokens.java
@@ -337,6 +337,12 @@
     return done;
   }
 
+  /** Tells whether a holder has said that it serves the organisation, when it answered last. */
+  boolean isServed() {
+    return order.stream()
+        .anyMatch(holder -> view(holder).last.map(TokenGrant::serving).orElse(false));
+  }
+
   double possible(double seconds, Now now) {
     double sum = inHand(now) + partRate * order.size() * seconds;
     for (InstanceId holder : order) {
--- a/core/src/main/java/org/bergamotcross/core/admission/RateAdmission.java
+++ b/core/src/main/java/org/bergamotcross/core/admission/RateAdmission.java
@@ -92,6 +92,9 @@
     if (!now.isBefore(deadline)) {
       return new RateDecision.Refused(new Refusal.DeadlineBeforeSend());
     }
+    if (configuration.members().list().isEmpty()) {
+      return new RateDecision.Refused(new Refusal.NotReady());
+    }
     active.add(organisation.id());
     borrower.noteDemand(organisation.id(), now);
     if (waitList.waiting(organisation.id()) == 0 && borrower.take(organisation.id(), now)) {
@@ -221,10 +224,11 @@
 
   private void refuseExpired(Now now, List<RateStep.Ended> ended) {
     for (RateWaitList.Expired expired : waitList.expired(now)) {
-      Duration wait = retryAfter(expired.organisation(), now);
-      ended.add(
-          new RateStep.Ended(
-              expired.requestId(), new RateDecision.Refused(new Refusal.RateExceeded(wait))));
+      Refusal refusal =
+          borrower.isServed(expired.organisation())
+              ? new Refusal.RateExceeded(retryAfter(expired.organisation(), now))
+              : new Refusal.NotReady();
+      ended.add(new RateStep.Ended(expired.requestId(), new RateDecision.Refused(refusal)));
     }
   }
 }
--- a/core/src/main/java/org/bergamotcross/core/admission/RateBorrower.java
+++ b/core/src/main/java/org/bergamotcross/core/admission/RateBorrower.java
@@ -184,4 +184,14 @@
   public double possible(OrganisationId id, double seconds, Now now) {
     return state(id).map(state -> state.possible(seconds, now)).orElse(0.0);
   }
+
+  /**
+   * Tells whether any holder serves an organisation, as far as this instance has heard.
+   *
+   * @param id the organisation
+   * @return whether a holder said so when it answered last
+   */
+  public boolean isServed(OrganisationId id) {
+    return state(id).map(BorrowedTokens::isServed).orElse(false);
+  }
 }
--- a/core/src/main/java/org/bergamotcross/core/admission/SettledOffset.java
+++ b/core/src/main/java/org/bergamotcross/core/admission/SettledOffset.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
+import org.bergamotcross.core.config.Configuration;
 import org.bergamotcross.kernel.Now;
 
 /**
@@ -28,7 +29,8 @@
   private final OffsetQuorum quorum;
   private final Duration wait;
   private final Deque<Step> steps = new ArrayDeque<>();
-  private long settled = Long.MIN_VALUE;
+  // The empty log is settled from the start.
+  private long settled = Configuration.EMPTY.offset();
 
   SettledOffset(OffsetQuorum quorum, Duration wait) {
     this.quorum = quorum;
--- a/core/src/main/java/org/bergamotcross/core/config/LogReader.java
+++ b/core/src/main/java/org/bergamotcross/core/config/LogReader.java
@@ -61,8 +61,10 @@
    *
    * @param offset its offset
    * @param result what it did
+   * @param members the configuration after it, when it changed the members; admission must see each
+   *     such step, or it takes the holders in between for unknown
    */
-  public record Step(long offset, FoldResult result) {}
+  public record Step(long offset, FoldResult result, Optional<Configuration> members) {}
 
   /**
    * What a page did.
@@ -188,7 +190,7 @@
             case Content.Known known -> fold.apply(entry.offset(), known.record());
             case Content.Unreadable unreadable -> fold.skip(entry.offset(), unreadable.reason());
           };
-      steps.add(new Step(entry.offset(), result));
+      steps.add(new Step(entry.offset(), result, changedMembers(result)));
       if (result instanceof FoldResult.Gap) {
         break;
       }
@@ -196,12 +198,21 @@
     return steps;
   }
 
+  private Optional<Configuration> changedMembers(FoldResult result) {
+    return result instanceof FoldResult.Accepted accepted
+            && (accepted.record() instanceof ControlRecord.Join
+                || accepted.record() instanceof ControlRecord.Leave
+                || accepted.record() instanceof ControlRecord.Expel)
+        ? Optional.of(fold.configuration())
+        : Optional.empty();
+  }
+
   private List<Step> scan(long earliest, List<Entry> entries) {
     for (Entry entry : entries) {
       Optional<FoldResult> result = usable(entry, earliest).map(fold::restore);
       if (result.isPresent() && result.get() instanceof FoldResult.Accepted) {
         scanFrom = Optional.empty();
-        return List.of(new Step(entry.offset(), result.get()));
+        return List.of(new Step(entry.offset(), result.get(), Optional.empty()));
       }
       scanFrom = Optional.of(entry.offset() + 1);
     }
--- a/core/src/test/java/org/bergamotcross/core/admission/RateHolderTest.java
+++ b/core/src/test/java/org/bergamotcross/core/admission/RateHolderTest.java
@@ -50,8 +50,8 @@
   class Gained {
     @Test
     void partServesOnlyAfterThePredecessorsLastGrantsEnded() {
-      holder.freshUntil(START.plus(Duration.ofMinutes(1)));
       configure(configuration(5, true, 1), START);
+      holder.freshUntil(START.plus(Duration.ofMinutes(1)));
       Now ready = START.plus(Duration.ofSeconds(3)).plus(TokenBucket.LOAN);
       assertThat(granted(ready.plus(Duration.ofMillis(-1)))).isEqualTo(0.0);
       assertThat(granted(ready)).isEqualTo(0.0);
@@ -73,8 +73,8 @@
   class OtherProcess {
     @Test
     void doesNotServeAsItsPredecessorWithTheSameId() {
-      holder.freshUntil(START.plus(Duration.ofMinutes(1)));
       configure(configuration(5, true, 2), START);
+      holder.freshUntil(START.plus(Duration.ofMinutes(1)));
       assertThat(granted(START.plus(Duration.ofSeconds(20)))).isEqualTo(0.0);
     }
   }
--- a/entry/src/main/java/org/bergamotcross/entry/duties/AdmissionDuty.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/AdmissionDuty.java
@@ -1,15 +1,35 @@
 package org.bergamotcross.entry.duties;
 
 import java.time.Duration;
+import java.util.IdentityHashMap;
+import java.util.List;
 import java.util.Optional;
-import java.util.function.Supplier;
+import java.util.function.BiConsumer;
+import org.bergamotcross.core.admission.ClaimAnswer;
+import org.bergamotcross.core.admission.ClaimAsk;
+import org.bergamotcross.core.admission.ClaimCoordinator;
+import org.bergamotcross.core.admission.ClaimDecision;
+import org.bergamotcross.core.admission.ClaimHolder;
+import org.bergamotcross.core.admission.ClaimOutcome;
+import org.bergamotcross.core.admission.ClaimSync;
+import org.bergamotcross.core.admission.ClaimSyncAnswer;
+import org.bergamotcross.core.admission.OffsetQuorum;
+import org.bergamotcross.core.admission.Outcome;
+import org.bergamotcross.core.admission.PeerMessage;
+import org.bergamotcross.core.admission.RateAdmission;
+import org.bergamotcross.core.admission.RateDecision;
+import org.bergamotcross.core.admission.RateStep;
 import org.bergamotcross.core.admission.Refusal;
 import org.bergamotcross.core.admission.RequestCheck;
+import org.bergamotcross.core.admission.StoredAnswer;
 import org.bergamotcross.core.config.Configuration;
+import org.bergamotcross.core.config.Organisation;
+import org.bergamotcross.core.membership.InstanceId;
 import org.bergamotcross.entry.AdmissionInput;
 import org.bergamotcross.entry.AdmittedRequest;
 import org.bergamotcross.entry.Broadcasts.Freshness;
 import org.bergamotcross.entry.CallerRequest;
+import org.bergamotcross.entry.RequestHandle;
 import org.bergamotcross.entry.RoutingInput;
 import org.bergamotcross.kernel.DutyHandler;
 import org.bergamotcross.kernel.Now;
@@ -18,73 +38,312 @@
 
 /** Admits or refuses each request; all state belongs to the admission thread. */
 final class AdmissionDuty implements DutyHandler<AdmissionInput> {
-  private static final Duration TICK = Duration.ofSeconds(1);
+  // 100,000 claims of about 300 bytes, and 64 MB of answers, fit beside the other state in 256 MB.
+  private static final int MAX_CLAIMS = 100_000;
+  private static final long MAX_ANSWER_BYTES = 64L << 20;
 
-  private final Supplier<Configuration> configuration;
-  private final Supplier<Optional<Freshness>> freshness;
-  private final Duration maxTimeout;
+  // The longest request, after whose end a claim that routing did not report is forgotten.
+  private static final Duration CLAIM_REPORT_LIMIT = Duration.ofSeconds(60);
+
+  /**
+   * What the duty is built from.
+   *
+   * @param self the own instance
+   * @param incarnation the incarnation of this process
+   * @param maxTimeout the longest time for a request on this instance
+   * @param waitCapacity the number of requests that wait for tokens at most
+   */
+  record Options(InstanceId self, long incarnation, Duration maxTimeout, int waitCapacity) {}
+
+  private final Options options;
+  private final MissedConfiguration missed;
+  private final BiConsumer<InstanceId, Record> network;
   private final Ring<RoutingInput> routing;
+  private final AdmissionReports reports;
+  private final OffsetQuorum quorum;
+  private final RateAdmission rates;
+  private final ClaimHolder claims;
+  private final PendingTable pending = new PendingTable();
+  private final IdentityHashMap<RequestHandle, ClaimCoordinator> sent = new IdentityHashMap<>();
+  private Configuration configuration = Configuration.EMPTY;
+  private Optional<Now> freshUntil = Optional.empty();
+  private long arrived;
 
   AdmissionDuty(
-      Supplier<Configuration> configuration,
-      Supplier<Optional<Freshness>> freshness,
-      Duration maxTimeout,
-      Ring<RoutingInput> routing) {
-    this.configuration = configuration;
-    this.freshness = freshness;
-    this.maxTimeout = maxTimeout;
+      Options options,
+      MissedConfiguration missed,
+      BiConsumer<InstanceId, Record> network,
+      Ring<RoutingInput> routing,
+      AdmissionReports reports) {
+    this.options = options;
+    this.missed = missed;
+    this.network = network;
     this.routing = routing;
+    this.reports = reports;
+    this.quorum = new OffsetQuorum(options.self());
+    this.rates =
+        new RateAdmission(options.self(), options.incarnation(), quorum, options.waitCapacity());
+    this.claims =
+        new ClaimHolder(
+            options.self(), options.incarnation(), quorum, MAX_CLAIMS, MAX_ANSWER_BYTES);
   }
 
   @Override
   public void onMessage(AdmissionInput message, Now now) {
+    missed.take().ifPresent(next -> configure(next, now));
     switch (message) {
-      case AdmissionInput.Arrived arrived -> admit(arrived.request(), now);
-      // Nothing waits here yet, and no claim is made yet.
-      case AdmissionInput.CallerGone ignored -> {}
-      case AdmissionInput.ClaimEnded ignored -> {}
-      case AdmissionInput.Internal ignored -> {}
+      case AdmissionInput.Arrived arrival -> check(arrival.request(), now);
+      case AdmissionInput.CallerGone gone -> pending.find(gone.handle()).ifPresent(this::abandon);
+      case AdmissionInput.ClaimEnded ended ->
+          claimEnded(ended.request(), ended.outcome(), ended.answer(), now);
+      case AdmissionInput.Internal internal -> {
+        if (internal instanceof AdmissionEvent event) {
+          onEvent(event, now);
+        }
+      }
     }
+    step(now);
   }
 
   @Override
   public Duration onTick(Now now) {
-    return TICK;
+    missed.take().ifPresent(next -> configure(next, now));
+    claims.tick(now).forEach(message -> send(message, now));
+    pending
+        .matching(request -> request.claim().isPresent())
+        .forEach(request -> claim(request, request.claim().orElseThrow(), now));
+    sent.values().removeIf(claim -> !now.isBefore(claim.deadline().plus(CLAIM_REPORT_LIMIT)));
+    step(now);
+    return RateAdmission.TICK;
+  }
+
+  private void onEvent(AdmissionEvent event, Now now) {
+    switch (event) {
+      case AdmissionEvent.Configured configured -> configure(configured.configuration(), now);
+      case AdmissionEvent.Confirmed confirmed -> confirm(confirmed.freshness());
+      case AdmissionEvent.PeerHeard heard -> quorum.heard(heard.peer(), heard.offset());
+      case AdmissionEvent.FromPeer peer -> onPeer(peer.from(), peer.message(), now);
+      case AdmissionEvent.Stop ignored ->
+          rates.giveBack(now).forEach(message -> send(message, now));
+    }
+  }
+
+  private void configure(Configuration next, Now now) {
+    if (next.offset() < configuration.offset()) {
+      return;
+    }
+    configuration = next;
+    quorum.configure(next);
+    rates.configure(next, now);
+    claims.configure(next, now);
+    pending
+        .matching(request -> next.key(request.request().key()).isEmpty())
+        .forEach(request -> refuse(request, new Refusal.WithdrawnKey(), now));
+  }
+
+  private void confirm(Freshness freshness) {
+    if (freshness.source() != Freshness.Source.NONE) {
+      freshUntil = Optional.of(freshness.validUntil());
+      rates.freshUntil(freshness.validUntil());
+      claims.freshUntil(freshness.validUntil());
+    }
+  }
+
+  private boolean isFresh(Now now) {
+    return freshUntil.map(now::isBefore).orElse(false);
+  }
+
+  private void onPeer(InstanceId from, Record message, Now now) {
+    switch (message) {
+      case ClaimAsk ask -> send(new PeerMessage(from, claims.onAsk(ask, now)), now);
+      case ClaimAnswer answer -> onClaimAnswer(from, answer, now);
+      case ClaimOutcome outcome -> claims.onOutcome(outcome, now);
+      case ClaimSync sync ->
+          claims.onSync(sync, now).ifPresent(page -> send(new PeerMessage(from, page), now));
+      case ClaimSyncAnswer page ->
+          claims.onSyncAnswer(from, page, now).ifPresent(next -> send(next, now));
+      default -> rates.onMessage(from, message, now);
+    }
+  }
+
+  private void send(PeerMessage message, Now now) {
+    if (message.to().equals(options.self())) {
+      onPeer(options.self(), message.message(), now);
+    } else {
+      network.accept(message.to(), message.message());
+    }
+  }
+
+  private void check(CallerRequest request, Now now) {
+    RequestCheck.Facts facts =
+        new RequestCheck.Facts(
+            request.method(),
+            request.path(),
+            request.keys(),
+            request.timeout(),
+            request.receivedAt());
+    switch (new RequestCheck(configuration, freshUntil, options.maxTimeout()).check(facts, now)) {
+      case RequestCheck.Result.Passed passed -> passed(request, passed, now);
+      case RequestCheck.Result.Refused refused -> {
+        reports.refused(request.id(), Optional.empty(), refused.refusal());
+        request.handle().refuse(refused.refusal());
+      }
+    }
   }
 
-  private void admit(CallerRequest request, Now now) {
-    switch (requestCheck().check(facts(request), now)) {
-      case RequestCheck.Result.Passed passed -> forward(admitted(request, passed));
-      case RequestCheck.Result.Refused refused -> request.handle().refuse(refused.refusal());
+  private void passed(CallerRequest request, RequestCheck.Result.Passed passed, Now now) {
+    boolean claimed = !passed.idempotent() && request.idempotencyKey().isPresent();
+    PendingRequest waiting =
+        new PendingRequest(
+            options.incarnation() + "-" + arrived++,
+            new AdmittedRequest(
+                request,
+                passed.organisation(),
+                passed.key(),
+                passed.route(),
+                passed.idempotent(),
+                claimed,
+                passed.deadline()),
+            now);
+    Optional<Organisation> organisation = configuration.organisation(passed.organisation());
+    if (organisation.isEmpty()) {
+      refuse(waiting, new Refusal.UnknownKey(), now);
+      return;
     }
+    pending.add(waiting);
+    RateDecision decision =
+        rates.arrive(waiting.uniqueId(), organisation.get(), passed.deadline(), now);
+    if (decision instanceof RateDecision.Waiting) {
+      reports.waiting(waiting);
+    } else {
+      onRate(waiting, decision, now);
+    }
+  }
+
+  private void onRate(PendingRequest request, RateDecision decision, Now now) {
+    switch (decision) {
+      case RateDecision.Admitted ignored -> {
+        if (request.needsClaim()) {
+          startClaim(request, now);
+        } else {
+          forward(request, now);
+        }
+      }
+      case RateDecision.Refused refused -> refuse(request, refused.refusal(), now);
+      case RateDecision.Waiting ignored -> {}
+    }
+  }
+
+  private void startClaim(PendingRequest request, Now now) {
+    AdmittedRequest admitted = request.request();
+    ClaimCoordinator coordinator =
+        new ClaimCoordinator(
+            attempt(request),
+            admitted.organisation(),
+            admitted.request().idempotencyKey().orElseThrow(),
+            admitted.deadline(),
+            now);
+    request.claimBy(coordinator);
+    claim(request, coordinator, now);
+  }
+
+  private String attempt(PendingRequest request) {
+    return options.self() + "-" + request.uniqueId();
+  }
+
+  private void claim(PendingRequest request, ClaimCoordinator coordinator, Now now) {
+    coordinator.asks(configuration.members(), now).forEach(message -> send(message, now));
+    decide(request, coordinator, now);
+  }
+
+  private void onClaimAnswer(InstanceId from, ClaimAnswer answer, Now now) {
+    String prefix = options.self() + "-";
+    if (!answer.attempt().startsWith(prefix)) {
+      return;
+    }
+    pending
+        .find(answer.attempt().substring(prefix.length()))
+        .ifPresent(
+            request ->
+                request
+                    .claim()
+                    .ifPresent(
+                        coordinator -> {
+                          coordinator.onAnswer(from, answer);
+                          decide(request, coordinator, now);
+                        }));
+  }
+
+  private void decide(PendingRequest request, ClaimCoordinator coordinator, Now now) {
+    Optional<ClaimDecision> decision = coordinator.decide(isFresh(now), now);
+    if (decision.isEmpty()) {
+      return;
+    }
+    switch (decision.get()) {
+      case ClaimDecision.Send ignored -> {
+        reports.claimGranted(request, attempt(request));
+        forward(request, now);
+      }
+      case ClaimDecision.AnswerStored stored -> {
+        reports.claimAnswered(request);
+        release(request, now);
+        request.request().request().handle().answer(stored.answer());
+      }
+      case ClaimDecision.Refuse refused -> refuse(request, refused.refusal(), now);
+    }
+  }
+
+  private void forward(PendingRequest request, Now now) {
+    RoutingInput.Admitted message = new RoutingInput.Admitted(request.request());
+    if (routing.offer(message) instanceof Offer.Full full) {
+      refuse(request, new Refusal.Overloaded(full.ring()), now);
+      return;
+    }
+    reports.admitted(request, now);
+    pending.remove(request);
+    request.claim().ifPresent(claim -> sent.put(request.request().request().handle(), claim));
+  }
+
+  private void refuse(PendingRequest request, Refusal refusal, Now now) {
+    AdmittedRequest admitted = request.request();
+    reports.refused(admitted.request().id(), Optional.of(admitted.organisation()), refusal);
+    release(request, now);
+    admitted.request().handle().refuse(refusal);
   }
 
-  private RequestCheck requestCheck() {
-    Optional<Now> freshUntil =
-        freshness.get().filter(f -> f.source() != Freshness.Source.NONE).map(Freshness::validUntil);
-    return new RequestCheck(configuration.get(), freshUntil, maxTimeout);
+  private void abandon(PendingRequest request) {
+    reports.abandoned(request);
+    release(request, request.since());
   }
 
-  private static RequestCheck.Facts facts(CallerRequest request) {
-    return new RequestCheck.Facts(
-        request.method(), request.path(), request.keys(), request.timeout(), request.receivedAt());
+  /** Ends a request that was not sent, wherever it waits. */
+  private void release(PendingRequest request, Now now) {
+    pending.remove(request);
+    rates.cancel(request.uniqueId());
+    request
+        .claim()
+        .ifPresent(
+            claim ->
+                claim
+                    .end(Outcome.NOT_RUN, Optional.empty())
+                    .forEach(message -> send(message, now)));
   }
 
-  private static AdmittedRequest admitted(
-      CallerRequest request, RequestCheck.Result.Passed passed) {
-    return new AdmittedRequest(
-        request,
-        passed.organisation(),
-        passed.key(),
-        passed.route(),
-        passed.idempotent(),
-        false,
-        passed.deadline());
+  private void claimEnded(
+      AdmittedRequest request, Outcome outcome, Optional<StoredAnswer> answer, Now now) {
+    Optional.ofNullable(sent.remove(request.request().handle()))
+        .ifPresent(
+            claim -> {
+              reports.claimEnded(request, outcome, answer.isPresent());
+              claim.end(outcome, answer).forEach(message -> send(message, now));
+            });
   }
 
-  private void forward(AdmittedRequest request) {
-    if (routing.offer(new RoutingInput.Admitted(request)) instanceof Offer.Full full) {
-      request.request().handle().refuse(new Refusal.Overloaded(full.ring()));
+  private void step(Now now) {
+    RateStep step = rates.step(now);
+    step.messages().forEach(message -> send(message, now));
+    for (RateStep.Ended ended : List.copyOf(step.ended())) {
+      pending.find(ended.requestId()).ifPresent(request -> onRate(request, ended.decision(), now));
     }
   }
 }
--- /dev/null
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/AdmissionEvent.java
@@ -0,0 +1,43 @@
+package org.bergamotcross.entry.duties;
+
+import org.bergamotcross.core.config.Configuration;
+import org.bergamotcross.core.membership.InstanceId;
+import org.bergamotcross.entry.AdmissionInput;
+import org.bergamotcross.entry.Broadcasts.Freshness;
+
+/** What the admission duty learns from other duties and from peers. */
+sealed interface AdmissionEvent extends AdmissionInput.Internal {
+
+  /**
+   * A configuration is in force.
+   *
+   * @param configuration the configuration
+   */
+  record Configured(Configuration configuration) implements AdmissionEvent {}
+
+  /**
+   * The freshness changed.
+   *
+   * @param freshness the freshness
+   */
+  record Confirmed(Freshness freshness) implements AdmissionEvent {}
+
+  /**
+   * A peer confirmed the offset that it has folded.
+   *
+   * @param peer the peer
+   * @param offset the offset
+   */
+  record PeerHeard(InstanceId peer, long offset) implements AdmissionEvent {}
+
+  /**
+   * A peer sent a message about rates or claims.
+   *
+   * @param from the peer
+   * @param message the message
+   */
+  record FromPeer(InstanceId from, Record message) implements AdmissionEvent {}
+
+  /** The process was told to stop. */
+  record Stop() implements AdmissionEvent {}
+}
--- /dev/null
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/AdmissionKinds.java
@@ -0,0 +1,44 @@
+package org.bergamotcross.entry.duties;
+
+import java.util.Map;
+import java.util.function.BiConsumer;
+import org.bergamotcross.core.admission.ClaimAnswer;
+import org.bergamotcross.core.admission.ClaimAsk;
+import org.bergamotcross.core.admission.ClaimOutcome;
+import org.bergamotcross.core.admission.ClaimSync;
+import org.bergamotcross.core.admission.ClaimSyncAnswer;
+import org.bergamotcross.core.admission.TokenAsk;
+import org.bergamotcross.core.admission.TokenGrant;
+import org.bergamotcross.core.admission.TokenHandover;
+import org.bergamotcross.core.membership.InstanceId;
+import org.bergamotcross.entry.PeerExchange;
+
+/** The names on the wire of the messages about rates and claims. */
+final class AdmissionKinds {
+  private static final Map<Class<? extends Record>, String> NAMES =
+      Map.of(
+          TokenAsk.class, "token-ask",
+          TokenGrant.class, "token-grant",
+          TokenHandover.class, "token-handover",
+          ClaimAsk.class, "claim-ask",
+          ClaimAnswer.class, "claim-answer",
+          ClaimOutcome.class, "claim-outcome",
+          ClaimSync.class, "claim-sync",
+          ClaimSyncAnswer.class, "claim-sync-answer");
+
+  private AdmissionKinds() {}
+
+  static String name(Record message) {
+    return NAMES.get(message.getClass());
+  }
+
+  /** Registers one receiver for all kinds. */
+  static void handle(PeerExchange exchange, BiConsumer<InstanceId, Record> receiver) {
+    NAMES.forEach((type, name) -> handle(exchange, name, type, receiver));
+  }
+
+  private static <T extends Record> void handle(
+      PeerExchange exchange, String name, Class<T> type, BiConsumer<InstanceId, Record> receiver) {
+    exchange.handle(name, type, (from, message) -> receiver.accept(from.id(), message));
+  }
+}
--- a/entry/src/main/java/org/bergamotcross/entry/duties/AdmissionPlugin.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/AdmissionPlugin.java
@@ -3,25 +3,23 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicReference;
-import org.bergamotcross.core.config.Configuration;
+import java.util.function.BiConsumer;
+import org.bergamotcross.core.membership.InstanceId;
 import org.bergamotcross.entry.AdmissionInput;
 import org.bergamotcross.entry.Broadcasts;
-import org.bergamotcross.entry.Broadcasts.Freshness;
 import org.bergamotcross.entry.EntrySettings;
+import org.bergamotcross.entry.PeerExchange;
 import org.bergamotcross.entry.RoutingInput;
 import org.bergamotcross.entry.Topics;
+import org.bergamotcross.kernel.Offer;
 import org.bergamotcross.kernel.Plugin;
 import org.bergamotcross.kernel.PluginContext;
 import org.bergamotcross.kernel.Ring;
 import org.bergamotcross.kernel.Setting;
 
-/** Runs the admission duty: key, organisation, route, permission and deadline of each request. */
+/** Runs the admission duty: key, route and deadline of each request, rates and claims. */
 public final class AdmissionPlugin implements Plugin {
-  private final AtomicReference<Configuration> configuration =
-      new AtomicReference<>(Configuration.EMPTY);
-  private final AtomicReference<Optional<Freshness>> freshness =
-      new AtomicReference<>(Optional.empty());
+  private final MissedConfiguration missed = new MissedConfiguration();
 
   @Override
   public String name() {
@@ -30,25 +28,57 @@
 
   @Override
   public List<Setting<?>> settings() {
-    return List.of(EntrySettings.RING_CAPACITY, EntrySettings.MAX_TIMEOUT_MS);
+    return List.of(
+        EntrySettings.INSTANCE_ID,
+        EntrySettings.RING_CAPACITY,
+        EntrySettings.QUEUE_CAPACITY,
+        EntrySettings.MAX_TIMEOUT_MS);
   }
 
   @Override
   public void configure(PluginContext context) {
-    context.open(Topics.ADMISSION, context.settings().value(EntrySettings.RING_CAPACITY));
-    context.subscribe(Broadcasts.CONFIGURATION, configuration::set);
-    context.subscribe(Broadcasts.FRESHNESS, f -> freshness.set(Optional.of(f)));
+    Ring<AdmissionInput> ring =
+        context.open(Topics.ADMISSION, context.settings().value(EntrySettings.RING_CAPACITY));
+    context.subscribe(
+        Broadcasts.CONFIGURATION,
+        next -> {
+          if (ring.offerReserved(new AdmissionEvent.Configured(next)) instanceof Offer.Full) {
+            missed.put(next);
+          }
+        });
+    // A lost one only lets the freshness end earlier.
+    context.subscribe(
+        Broadcasts.FRESHNESS, next -> ring.offerReserved(new AdmissionEvent.Confirmed(next)));
+    context.subscribe(
+        Broadcasts.PEER_ECHO,
+        echo -> ring.offer(new AdmissionEvent.PeerHeard(echo.peer().id(), echo.offset())));
+    context.subscribe(
+        Broadcasts.STOPPING, stopping -> ring.offerReserved(new AdmissionEvent.Stop()));
   }
 
   @Override
   public void start(PluginContext context) {
+    Ring<AdmissionInput> ring = context.ring(Topics.ADMISSION).orElseThrow();
     Ring<RoutingInput> routing =
         context
             .ring(Topics.ROUTING)
             .orElseThrow(() -> new IllegalStateException("no plug-in opened the routing topic"));
-    Duration maxTimeout = Duration.ofMillis(context.settings().value(EntrySettings.MAX_TIMEOUT_MS));
+    Optional<PeerExchange> exchange = context.service(PeerExchange.class);
+    exchange.ifPresent(
+        peers ->
+            AdmissionKinds.handle(
+                peers, (from, message) -> ring.offer(new AdmissionEvent.FromPeer(from, message))));
+    BiConsumer<InstanceId, Record> network =
+        (to, message) ->
+            exchange.ifPresent(peers -> peers.send(to, AdmissionKinds.name(message), message));
+    AdmissionDuty.Options options =
+        new AdmissionDuty.Options(
+            new InstanceId(context.settings().value(EntrySettings.INSTANCE_ID)),
+            exchange.map(PeerExchange::incarnation).orElse(0L),
+            Duration.ofMillis(context.settings().value(EntrySettings.MAX_TIMEOUT_MS)),
+            context.settings().value(EntrySettings.QUEUE_CAPACITY));
     context.<AdmissionInput>startDuty(
         Topics.ADMISSION,
-        new AdmissionDuty(configuration::get, freshness::get, maxTimeout, routing));
+        new AdmissionDuty(options, missed, network, routing, new AdmissionReports(context)));
   }
 }
--- /dev/null
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/AdmissionReports.java
@@ -0,0 +1,81 @@
+package org.bergamotcross.entry.duties;
+
+import com.codahale.metrics.Meter;
+import com.codahale.metrics.Timer;
+import java.util.Optional;
+import org.bergamotcross.core.admission.Outcome;
+import org.bergamotcross.core.admission.Refusal;
+import org.bergamotcross.core.config.OrganisationId;
+import org.bergamotcross.entry.AdmittedRequest;
+import org.bergamotcross.kernel.EventLog;
+import org.bergamotcross.kernel.Now;
+import org.bergamotcross.kernel.PluginContext;
+
+/** Writes one event for each admission decision. */
+final class AdmissionReports {
+  private final EventLog events;
+  private final Meter admitted;
+  private final Meter refused;
+  private final Timer waited;
+
+  AdmissionReports(PluginContext context) {
+    events = context.events();
+    admitted = context.metrics().meter("admission.admitted");
+    refused = context.metrics().meter("admission.refused");
+    waited = context.metrics().timer("admission.waited");
+  }
+
+  void waiting(PendingRequest pending) {
+    event("admission.waiting", pending.request()).with("reason", "no-token").emit();
+  }
+
+  void admitted(PendingRequest pending, Now now) {
+    admitted.mark();
+    waited.update(now.since(pending.since()));
+    event("admission.admitted", pending.request())
+        .with("reason", pending.claim().isPresent() ? "token-and-claim" : "token")
+        .with("waited-us", now.since(pending.since()).toNanos() / 1_000)
+        .emit();
+  }
+
+  void refused(String requestId, Optional<OrganisationId> organisation, Refusal refusal) {
+    refused.mark();
+    EventLog.Event event =
+        events
+            .event("admission.refused")
+            .with("request", requestId)
+            .with("organisation", organisation)
+            .with("reason", refusal.code())
+            .with("outcome", refusal.outcome().text());
+    if (refusal instanceof Refusal.RateExceeded rate) {
+      event.with("retry-after-ms", rate.retryAfter().toMillis());
+    }
+    if (refusal instanceof Refusal.ClaimUnavailable claim) {
+      event.with("holders", claim.reason());
+    }
+    event.emit();
+  }
+
+  void abandoned(PendingRequest pending) {
+    event("admission.abandoned", pending.request()).with("reason", "caller-gone").emit();
+  }
+
+  void claimGranted(PendingRequest pending, String attempt) {
+    event("claim.granted", pending.request()).with("attempt", attempt).emit();
+  }
+
+  void claimAnswered(PendingRequest pending) {
+    event("claim.answered", pending.request()).with("reason", "stored-answer").emit();
+  }
+
+  void claimEnded(AdmittedRequest request, Outcome outcome, boolean stored) {
+    event("claim.ended", request).with("outcome", outcome.text()).with("stored", stored).emit();
+  }
+
+  private EventLog.Event event(String name, AdmittedRequest request) {
+    return events
+        .event(name)
+        .with("request", request.request().id())
+        .with("organisation", request.organisation());
+  }
+}
--- a/entry/src/main/java/org/bergamotcross/entry/duties/ConfigDuty.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/ConfigDuty.java
@@ -149,6 +149,7 @@
     boolean advanced = false;
     for (LogReader.Step step : steps) {
       advanced |= advances(step.result());
+      step.members().ifPresent(members -> context.publish(Broadcasts.CONFIGURATION, members));
       report(step, now);
       records.stream()
           .filter(record -> record.offset() == step.offset() && advances(step.result()))
--- /dev/null
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/PendingTable.java
@@ -0,0 +1,37 @@
+package org.bergamotcross.entry.duties;
+
+import java.util.HashMap;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.bergamotcross.entry.RequestHandle;
+
+/** The requests that wait in admission; used by the admission thread alone. */
+final class PendingTable {
+  private final Map<String, PendingRequest> byId = new HashMap<>();
+  private final IdentityHashMap<RequestHandle, PendingRequest> byHandle = new IdentityHashMap<>();
+
+  void add(PendingRequest pending) {
+    byId.put(pending.uniqueId(), pending);
+    byHandle.put(pending.request().request().handle(), pending);
+  }
+
+  Optional<PendingRequest> find(String uniqueId) {
+    return Optional.ofNullable(byId.get(uniqueId));
+  }
+
+  Optional<PendingRequest> find(RequestHandle handle) {
+    return Optional.ofNullable(byHandle.get(handle));
+  }
+
+  void remove(PendingRequest pending) {
+    byId.remove(pending.uniqueId());
+    byHandle.remove(pending.request().request().handle());
+  }
+
+  List<PendingRequest> matching(Predicate<PendingRequest> condition) {
+    return byId.values().stream().filter(condition).toList();
+  }
+}
--- a/entry/src/test/java/org/bergamotcross/entry/path/EntryProcess.java
+++ b/entry/src/test/java/org/bergamotcross/entry/path/EntryProcess.java
@@ -21,6 +21,8 @@
 import org.bergamotcross.core.config.TargetId;
 import org.bergamotcross.core.config.TeamSettings;
 import org.bergamotcross.core.membership.FailureDomain;
+import org.bergamotcross.core.membership.InstanceId;
+import org.bergamotcross.core.membership.Member;
 import org.bergamotcross.core.membership.Members;
 import org.bergamotcross.entry.Broadcasts;
 import org.bergamotcross.entry.Broadcasts.Freshness;
@@ -42,6 +44,10 @@
   private static final OrganisationId OTHER = new OrganisationId("team/other");
   private static final PoolId POOL = new PoolId("team/pool");
 
+  // Without the exchange plug-in the incarnation is 0.
+  private static final Members MEMBERS =
+      new Members(1, List.of(new Member(new InstanceId("entry-1"), 0, new FailureDomain("a"), "")));
+
   private final Kernel kernel;
   private final int port;
   private final int operationsPort;
@@ -86,8 +92,9 @@
       throw new IOException(e);
     }
     EntryProcess process = new EntryProcess(kernel, port, operationsPort);
-    process.configure(targets, slots, Set.of());
+    // Fresh before the first record, as when the log is empty: the organisations are new.
     process.confirm(Duration.ofMinutes(10));
+    process.configure(targets, slots, Set.of());
     return process;
   }
 
@@ -124,7 +131,7 @@
         .context()
         .publish(
             Broadcasts.CONFIGURATION,
-            Configuration.of(1, Map.of("team", team), withdrawn, Members.NONE));
+            Configuration.of(1, Map.of("team", team), withdrawn, MEMBERS));
   }
 
   /** Lets the instance act on its configuration for a time. */
