--- a/entry/src/main/java/org/bergamotcross/entry/Broadcasts.java
+++ b/entry/src/main/java/org/bergamotcross/entry/Broadcasts.java
@@ -1,6 +1,7 @@
 package org.bergamotcross.entry;
 
 import java.util.Map;
+import java.util.Set;
 import org.bergamotcross.core.config.Configuration;
 import org.bergamotcross.core.config.TargetId;
 import org.bergamotcross.core.membership.InstanceId;
@@ -26,11 +27,31 @@
   /** The status of all targets; published by the health duty when a status changes. */
   public static final Broadcast<HealthView> HEALTH = new Broadcast<>("health");
 
+  /**
+   * The targets that the instance list shows as leaving; published by the config duty when the set
+   * changes.
+   */
+  public static final Broadcast<LeavingTargets> LEAVING_TARGETS =
+      new Broadcast<>("leaving-targets");
+
   /** What a peer told about its requests in flight; published by the health plug-in. */
   public static final Broadcast<PeerInFlight> PEER_IN_FLIGHT = new Broadcast<>("peer-in-flight");
 
   private Broadcasts() {}
 
+  /**
+   * The targets that must get no new work because they leave.
+   *
+   * @param targets the targets
+   */
+  public record LeavingTargets(Set<TargetId> targets) {
+
+    /** Copies the set. */
+    public LeavingTargets {
+      targets = Set.copyOf(targets);
+    }
+  }
+
   /**
    * The requests of a peer that are in flight; replaces what it told before.
    *
--- a/entry/src/main/java/org/bergamotcross/entry/http/OperationsPages.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/OperationsPages.java
@@ -64,7 +64,7 @@
 
   private Map<String, Object> status() {
     Map<String, Object> lines = new TreeMap<>();
-    lines.put("instance", context.settings().value(EntrySettings.ID));
+    lines.put("instance", context.settings().value(EntrySettings.INSTANCE_ID));
     lines.put("failure-domain", context.settings().value(EntrySettings.FAILURE_DOMAIN));
     lines.put("offset", configuration.get().offset());
     lines.put("epoch", configuration.get().members().epoch());
--- a/entry/src/main/java/org/bergamotcross/entry/http/OperationsPlugin.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/OperationsPlugin.java
@@ -31,7 +31,8 @@
 
   @Override
   public List<Setting<?>> settings() {
-    return List.of(EntrySettings.ID, EntrySettings.FAILURE_DOMAIN, EntrySettings.OPERATIONS);
+    return List.of(
+        EntrySettings.INSTANCE_ID, EntrySettings.FAILURE_DOMAIN, EntrySettings.OPERATIONS);
   }
 
   @Override
--- a/entry/src/main/java/org/bergamotcross/entry/peer/ExchangePlugin.java
+++ b/entry/src/main/java/org/bergamotcross/entry/peer/ExchangePlugin.java
@@ -17,6 +17,7 @@
 import org.bergamotcross.core.membership.InstanceId;
 import org.bergamotcross.core.membership.Member;
 import org.bergamotcross.entry.Broadcasts;
+import org.bergamotcross.entry.EntrySettings;
 import org.bergamotcross.entry.PeerExchange;
 import org.bergamotcross.kernel.Offer;
 import org.bergamotcross.kernel.Plugin;
@@ -29,9 +30,6 @@
 /** Provides {@link PeerExchange}: accepts peers on {@code [listen] peers} and connects to them. */
 public final class ExchangePlugin implements Plugin {
   private static final Topic<ExchangeInput> EXCHANGE = new Topic<>("exchange");
-  private static final Setting<String> ID = Setting.name("instance", "id");
-  private static final Setting<String> FAILURE_DOMAIN = Setting.name("instance", "failure-domain");
-  private static final Setting<InetSocketAddress> LISTEN = Setting.address("listen", "peers");
   private static final Setting<List<String>> SEEDS =
       new Setting<>(
           "peers",
@@ -55,7 +53,8 @@
 
   @Override
   public List<Setting<?>> settings() {
-    return List.of(ID, FAILURE_DOMAIN, LISTEN, SEEDS);
+    return List.of(
+        EntrySettings.INSTANCE_ID, EntrySettings.FAILURE_DOMAIN, EntrySettings.PEERS, SEEDS);
   }
 
   @Override
@@ -63,10 +62,10 @@
     ring = context.open(EXCHANGE, RING_CAPACITY);
     self =
         new Member(
-            new InstanceId(context.settings().value(ID)),
+            new InstanceId(context.settings().value(EntrySettings.INSTANCE_ID)),
             newIncarnation(),
-            new FailureDomain(context.settings().value(FAILURE_DOMAIN)),
-            text(context.settings().value(LISTEN)));
+            new FailureDomain(context.settings().value(EntrySettings.FAILURE_DOMAIN)),
+            text(context.settings().value(EntrySettings.PEERS)));
     context.provide(PeerExchange.class, new RingExchange(handlers, ring, self));
     context.subscribe(
         Broadcasts.CONFIGURATION,
@@ -95,7 +94,7 @@
   }
 
   private void listen(PluginContext context, ActorSystem system) throws PluginStartException {
-    InetSocketAddress address = context.settings().value(LISTEN);
+    InetSocketAddress address = context.settings().value(EntrySettings.PEERS);
     CompletionStage<Tcp.ServerBinding> bound =
         Tcp.get(system)
             .bind(address.getHostString(), address.getPort())
