--- a/entry/src/main/java/org/bergamotcross/entry/duties/ConfigPlugin.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/ConfigPlugin.java
@@ -59,7 +59,7 @@
   @Override
   public void configure(PluginContext context) {
     ring = context.open(CONFIG, RING_CAPACITY);
-    status.set(initial(context));
+    status.set(initial(context, 0));
     context.provide(StatusSource.class, status::get);
     context.subscribe(Broadcasts.PEER_ECHO, echo -> ring.offer(new ConfigInput.Echoed(echo)));
     context.subscribe(Broadcasts.STOPPING, stopping -> ring.offerReserved(new ConfigInput.Stop()));
@@ -69,6 +69,7 @@
   public void start(PluginContext context) {
     Settings settings = context.settings();
     PeerExchange exchange = required(context, PeerExchange.class);
+    status.set(initial(context, exchange.incarnation()));
     PlatformClient client =
         context
             .closer()
@@ -108,10 +109,10 @@
         peers.getHostString() + ":" + peers.getPort());
   }
 
-  private static Status initial(PluginContext context) {
+  private static Status initial(PluginContext context, long incarnation) {
     return new Status(
         new InstanceId(context.settings().value(EntrySettings.INSTANCE_ID)),
-        0,
+        incarnation,
         -1,
         false,
         Map.of(),
--- a/entry/src/test/java/org/bergamotcross/entry/duties/ConfigDutyFaultTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/duties/ConfigDutyFaultTest.java
@@ -268,6 +268,20 @@
       }
     }
 
+    // The peers keep only the latest records, so the instance needs the state as a whole.
+    @Test
+    void duringALogOutageAdoptsTheStateOfAPeer() {
+      for (int i = 0; i < 1_100; i++) {
+        withdraw();
+      }
+      fleet.run(Duration.ofSeconds(2));
+      fleet.log.outage = true;
+      fleet.start("c");
+      fleet.run(BOUND);
+      assertThat(instance("c").offset()).isEqualTo(instance("a").offset());
+      assertThat(instance("c").configuration.isWithdrawn(new KeyHash(hash(1)))).isTrue();
+    }
+
     @Test
     void duringALogOutageGetsTheStateFromPeers() {
       withdraw();
