--- a/entry/src/main/java/org/bergamotcross/entry/EntrySettings.java
+++ b/entry/src/main/java/org/bergamotcross/entry/EntrySettings.java
@@ -32,7 +32,7 @@
 
   /** The number of messages that a ring holds; half of it is open to new work. */
   public static final Setting<Integer> RING_CAPACITY =
-      Setting.integer("limits", "ring-capacity", 64, 1_000_000).orDefault("8192");
+      Setting.integer("limits", "ring-capacity", 16, 1_000_000).orDefault("8192");
 
   /** The number of requests that may wait for a target. */
   public static final Setting<Integer> QUEUE_CAPACITY =
@@ -40,7 +40,7 @@
 
   /** The largest body of a request, in bytes. */
   public static final Setting<Integer> MAX_BODY_BYTES =
-      Setting.integer("limits", "max-body-bytes", 0, 256 * 1024 * 1024).orDefault("1048576");
+      Setting.integer("limits", "max-body-bytes", 1, 1 << 30).orDefault("1048576");
 
   /** The longest time that a request may take, in ms; claims are safe up to 60 s. */
   public static final Setting<Integer> MAX_TIMEOUT_MS =
