--- /dev/null
+++ b/cli/src/main/java/org/bergamotcross/cli/EventSentence.java
@@ -0,0 +1,74 @@
+package org.bergamotcross.cli;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+
+/** Says in one sentence what an event means. */
+final class EventSentence {
+  private static final List<String> FRAME = List.of("time", "event", "request", "reason");
+
+  private EventSentence() {}
+
+  /** Returns a sentence, followed by the reason when the event has one. */
+  static String of(LogEvent event) {
+    String reason =
+        Optional.ofNullable(event.values().get("reason"))
+            .map(r -> " Reason: " + r + ".")
+            .orElse("");
+    return sentence(event) + reason;
+  }
+
+  private static String sentence(LogEvent event) {
+    return switch (event.name()) {
+      case "route.chosen" ->
+          "Attempt "
+              + event.value("attempt")
+              + " was sent to target "
+              + event.value("target")
+              + " of pool "
+              + event.value("pool")
+              + ".";
+      case "route.queued" ->
+          "The request began to wait for a target of pool " + event.value("pool") + ".";
+      case "route.retried" ->
+          "Attempt "
+              + event.value("attempt")
+              + " at target "
+              + event.value("target")
+              + " failed; the request is sent again after "
+              + event.value("delay-ms")
+              + " ms.";
+      case "request.completed" ->
+          "The request of organisation "
+              + event.value("organisation")
+              + " ended at target "
+              + event.value("target")
+              + " with result "
+              + event.value("result")
+              + " after "
+              + event.value("attempts")
+              + " attempt(s) and "
+              + event.value("total-us")
+              + " microseconds.";
+      case "request.refused" ->
+          "The request was refused with "
+              + event.value("refusal")
+              + "; outcome "
+              + event.value("outcome")
+              + ".";
+      case "caller.gone" -> "The caller closed its connection before it had the whole response.";
+      default -> "Event " + event.name() + pairs(event.values()) + ".";
+    };
+  }
+
+  private static String pairs(Map<String, String> values) {
+    String text =
+        values.entrySet().stream()
+            .filter(pair -> !FRAME.contains(pair.getKey()))
+            .map(pair -> pair.getKey() + " " + pair.getValue())
+            .collect(Collectors.joining(", "));
+    return text.isEmpty() ? "" : ": " + text;
+  }
+}
