Add check, publish and withdraw to the command line

Cause: operators publish settings and withdraw keys, also while answers of the log are lost or the log is down. Ruled out: a read of the log before each withdrawal, because a withdrawal is commutative and can simply be appended again; a generic failure for a lost answer, because the edit may be in force. Faults of the platform stand-in are now kept for each direction, so that an append can lose its answer while reads are refused.

--- /dev/null
+++ b/cli/src/main/java/org/bergamotcross/cli/CheckCommand.java
@@ -0,0 +1,54 @@
+package org.bergamotcross.cli;
+
+import java.nio.file.Path;
+import java.util.List;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.bergamotcross.core.config.TeamSettings;
+
+/**
+ * Checks the settings of a team without publishing them.
+ *
+ * @param file the INI file
+ */
+record CheckCommand(Path file) implements Command {
+  static final CommandSpec SPEC =
+      new CommandSpec(
+          "check",
+          "FILE",
+          "Checks the settings of a team and reports all problems, without the platform.",
+          new Options(),
+          CheckCommand::parse);
+
+  private static Command.Parsed parse(CommandLine line) {
+    List<Path> files = TeamFile.operand(line);
+    return files.isEmpty()
+        ? CommandSpec.wrong("found " + line.getArgList().size() + " files; expected one")
+        : CommandSpec.ready(new CheckCommand(files.get(0)));
+  }
+
+  @Override
+  public CommandResult run() {
+    return switch (TeamFile.read(file)) {
+      case TeamFile.Result.Invalid invalid -> invalid.result();
+      case TeamFile.Result.Valid valid -> new CommandResult.Done(summary(valid.settings()));
+    };
+  }
+
+  private static Report summary(TeamSettings settings) {
+    int targets = settings.pools().stream().mapToInt(pool -> pool.targets().size()).sum();
+    return Report.ofPairs(
+        "team",
+        settings.team(),
+        "organisations",
+        "" + settings.organisations().size(),
+        "keys",
+        "" + settings.keys().size(),
+        "pools",
+        "" + settings.pools().size(),
+        "targets",
+        "" + targets,
+        "routes",
+        "" + settings.routes().size());
+  }
+}
--- a/cli/src/main/java/org/bergamotcross/cli/Command.java
+++ b/cli/src/main/java/org/bergamotcross/cli/Command.java
@@ -1,7 +1,13 @@
 package org.bergamotcross.cli;
 
 /** A command with checked arguments. */
-sealed interface Command permits ExplainCommand, KeyNewCommand, StatusCommand {
+sealed interface Command
+    permits CheckCommand,
+        ExplainCommand,
+        KeyNewCommand,
+        PublishCommand,
+        StatusCommand,
+        WithdrawCommand {
 
   /** Runs the command. */
   CommandResult run();
--- a/cli/src/main/java/org/bergamotcross/cli/CommandProgram.java
+++ b/cli/src/main/java/org/bergamotcross/cli/CommandProgram.java
@@ -18,7 +18,13 @@
   private static final String NAME = "bergamotcross";
   private static final int INVALID_USAGE = 2;
   private static final List<CommandSpec> COMMANDS =
-      List.of(StatusCommand.SPEC, ExplainCommand.SPEC, KeyNewCommand.SPEC);
+      List.of(
+          CheckCommand.SPEC,
+          PublishCommand.SPEC,
+          WithdrawCommand.SPEC,
+          StatusCommand.SPEC,
+          ExplainCommand.SPEC,
+          KeyNewCommand.SPEC);
 
   private final PrintStream out;
   private final PrintStream err;
--- a/cli/src/main/java/org/bergamotcross/cli/EventSentence.java
+++ b/cli/src/main/java/org/bergamotcross/cli/EventSentence.java
@@ -59,10 +59,45 @@
               + event.value("outcome")
               + ".";
       case "caller.gone" -> "The caller closed its connection before it had the whole response.";
+      case "target.ejected" ->
+          target(event) + " gets no more work from any instance: " + fault(event)
+              + " The next trial is in " + event.value("trial-in-ms") + " ms.";
+      case "target.path-fault" ->
+          target(event) + " gets no more work from this failure domain only: " + fault(event);
+      case "target.ejection-refused" ->
+          target(event) + " looks faulty but stays in use, because only " + event.value("left")
+              + " targets would be left and the floor is " + event.value("floor") + ": "
+              + fault(event);
+      case "target.trial" -> target(event) + " gets one idempotent request as a trial.";
+      case "target.trial-failed" ->
+          target(event) + " failed its trial; the next one is in " + event.value("trial-in-ms")
+              + " ms.";
+      case "target.readmitted" ->
+          target(event) + " gets work again, with weight " + event.value("weight") + ", after "
+              + event.value("cause") + ".";
+      case "target.leaving" -> target(event) + " is leaving and gets no new work.";
       default -> "Event " + event.name() + pairs(event.values()) + ".";
     };
   }
 
+  private static String target(LogEvent event) {
+    return "Target " + event.value("target") + " of pool " + event.value("pool");
+  }
+
+  private static String fault(LogEvent event) {
+    return "fault "
+        + event.value("fault")
+        + ", seen by "
+        + event.value("observers")
+        + " instance(s) in "
+        + event.value("failure-domains")
+        + " failure domain(s), oldest request "
+        + event.value("age-ms")
+        + " ms against a threshold of "
+        + event.value("threshold-ms")
+        + " ms.";
+  }
+
   private static String pairs(Map<String, String> values) {
     String text =
         values.entrySet().stream()
--- /dev/null
+++ b/cli/src/main/java/org/bergamotcross/cli/TeamFile.java
@@ -0,0 +1,50 @@
+package org.bergamotcross.cli;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.apache.commons.cli.CommandLine;
+import org.bergamotcross.core.config.TeamSettings;
+import org.bergamotcross.entry.platform.TeamIni;
+import org.bergamotcross.kernel.SettingProblem;
+
+/** Reads the subtree of a team from a file. */
+final class TeamFile {
+  private TeamFile() {}
+
+  /** The result of reading. */
+  sealed interface Result {
+
+    /** The file is right. */
+    record Valid(String content, TeamSettings settings) implements Result {}
+
+    /** The file can't be read or is wrong. */
+    record Invalid(CommandResult result) implements Result {}
+  }
+
+  static Result read(Path file) {
+    String content;
+    try {
+      content = Files.readString(file);
+    } catch (IOException e) {
+      String problem = "can't read \"" + file + "\" (" + e + "); expected an INI file";
+      return new Result.Invalid(new CommandResult.Invalid(problem, Report.NONE));
+    }
+    return switch (TeamIni.read(file.toString(), content)) {
+      case TeamIni.Result.Valid valid -> new Result.Valid(content, valid.settings());
+      case TeamIni.Result.Invalid invalid -> new Result.Invalid(rejected(file, invalid.problems()));
+    };
+  }
+
+  private static CommandResult rejected(Path file, List<SettingProblem> problems) {
+    return new CommandResult.Invalid(
+        file + " has " + problems.size() + " problem(s); nothing was published",
+        Report.ofLines("problem", problems.stream().map(SettingProblem::toString).toList()));
+  }
+
+  /** Reads the one operand of a command that takes a file. */
+  static List<Path> operand(CommandLine line) {
+    return line.getArgList().size() == 1 ? List.of(Path.of(line.getArgList().get(0))) : List.of();
+  }
+}
--- a/standin/src/main/java/org/bergamotcross/standin/FaultTable.java
+++ b/standin/src/main/java/org/bergamotcross/standin/FaultTable.java
@@ -1,34 +1,49 @@
 package org.bergamotcross.standin;
 
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.bergamotcross.standin.FaultScope.Direction;
 
-/** The faults in force: one for all clients, and others for named clients. */
+/** The faults in force in each direction: one for all clients, and others for named clients. */
 final class FaultTable {
   private static final PlatformFault NONE = new PlatformFault.None();
 
-  private record Rule(PlatformFault fault, FaultScope.Direction direction) {
-    PlatformFault fault(FaultScope.Direction of) {
-      return direction.includes(of) ? fault : NONE;
-    }
+  private static final class Faults {
+    private final Map<String, PlatformFault> named = new HashMap<>();
+    private PlatformFault general = NONE;
   }
 
-  private final Map<String, Rule> named = new HashMap<>();
-  private Rule general = new Rule(NONE, FaultScope.Direction.BOTH);
+  private final Map<Direction, Faults> faults = new EnumMap<>(Direction.class);
+
+  FaultTable() {
+    faults.put(Direction.READS, new Faults());
+    faults.put(Direction.APPENDS, new Faults());
+  }
 
-  /** Sets a fault; one for all clients replaces the faults of named clients. */
+  /** Sets a fault; one for all clients replaces the faults of named clients in its direction. */
   void set(PlatformFault fault, FaultScope scope) {
-    Rule rule = new Rule(fault, scope.direction());
+    faults.forEach(
+        (direction, inForce) -> {
+          if (scope.direction().includes(direction)) {
+            set(inForce, fault, scope);
+          }
+        });
+  }
+
+  private static void set(Faults inForce, PlatformFault fault, FaultScope scope) {
     if (scope.instances().isEmpty()) {
-      named.clear();
-      general = rule;
+      inForce.named.clear();
+      inForce.general = fault;
     } else {
-      scope.instances().forEach(instance -> named.put(instance, rule));
+      scope.instances().forEach(instance -> inForce.named.put(instance, fault));
     }
   }
 
-  PlatformFault fault(Optional<String> client, FaultScope.Direction direction) {
-    return client.map(named::get).orElse(general).fault(direction);
+  /** Returns the fault for a request; the direction is reads or appends. */
+  PlatformFault fault(Optional<String> client, Direction direction) {
+    Faults inForce = faults.get(direction);
+    return client.map(inForce.named::get).orElse(inForce.general);
   }
 }
--- a/standin/src/main/java/org/bergamotcross/standin/PlatformStandin.java
+++ b/standin/src/main/java/org/bergamotcross/standin/PlatformStandin.java
@@ -80,7 +80,7 @@
    * Switches a fault on for some requests.
    *
    * @param fault the fault
-   * @param scope the requests; a scope without instances replaces all other faults
+   * @param scope the requests; without instances it replaces all faults in its direction
    */
   public void fault(PlatformFault fault, FaultScope scope) {
     apply(new PlatformChange.SetFault(fault, scope));
--- a/standin/src/test/java/org/bergamotcross/standin/PlatformStandinTest.java
+++ b/standin/src/test/java/org/bergamotcross/standin/PlatformStandinTest.java
@@ -188,11 +188,20 @@
       client.post("/control", "fault=outage&only=appends");
       assertThat(client.post(RECORDS, "a").statusCode()).isEqualTo(503);
       assertThat(client.get(RECORDS).statusCode()).isEqualTo(200);
+      client.post("/control", "fault=none");
       client.post("/control", "fault=outage&only=reads");
       assertThat(client.post(RECORDS, "a").statusCode()).isEqualTo(200);
       assertThat(client.get(RECORDS).statusCode()).isEqualTo(503);
     }
 
+    @Test
+    void leavesTheFaultOfTheOtherDirection() throws Exception {
+      client.post("/control", "fault=outage&only=appends");
+      client.post("/control", "fault=outage&only=reads");
+      assertThat(client.post(RECORDS, "a").statusCode()).isEqualTo(503);
+      assertThat(client.get(RECORDS).statusCode()).isEqualTo(503);
+    }
+
     @Test
     void limitsAFaultToNamedClients() throws Exception {
       platform.fault(new PlatformFault.Outage(false), FaultScope.of("entry-1"));
