Test the request path over real sockets, and add the daemon

Cause: invariants 3, 6 and 7 need tests that bring the failures about, and an instance needs a process that starts and stops in good order. Found: Pekko resolves dot segments itself, so that /open/%2e%2e/private is judged as /private; an encoded slash is left alone and is refused by RequestCheck. Conclusion: each guard still has to be shown to matter by removing it.

--- a/entry/src/main/java/org/bergamotcross/entry/Broadcasts.java
+++ b/entry/src/main/java/org/bergamotcross/entry/Broadcasts.java
@@ -20,7 +20,7 @@
   /** A peer answered; published by the exchange duty. */
   public static final Broadcast<PeerEcho> PEER_ECHO = new Broadcast<>("peer-echo");
 
-  /** The process was told to stop; published once. */
+  /** The process was told to stop; published again with an earlier limit by a second signal. */
   public static final Broadcast<Stopping> STOPPING = new Broadcast<>("stopping");
 
   /** The status of all targets; published by the health duty when a status changes. */
--- /dev/null
+++ b/entry/src/main/java/org/bergamotcross/entry/PlannedStop.java
@@ -0,0 +1,95 @@
+package org.bergamotcross.entry;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.bergamotcross.kernel.Now;
+import org.bergamotcross.kernel.PluginContext;
+import org.bergamotcross.kernel.Ring;
+
+/**
+ * Ends an instance in good order: requests in hand finish, new ones are refused.
+ *
+ * <p>The plug-ins hear {@link Broadcasts#STOPPING} at the first signal, and again with a limit that
+ * has come at the second one.
+ */
+final class PlannedStop {
+  private static final Duration LIMIT = Duration.ofSeconds(30);
+  // The routing duty cuts requests at its next tick; their refusals still have to be written.
+  private static final Duration GRACE = Duration.ofSeconds(1);
+  private static final Duration CLOSE_LIMIT = Duration.ofSeconds(1);
+  private static final Duration CHECK = Duration.ofMillis(5);
+  private static final Duration PARK = Duration.ofHours(1);
+
+  private record Signal() {}
+
+  private final PluginContext context;
+  private final Ring<Signal> signals = new Ring<>("signals", 8);
+
+  PlannedStop(PluginContext context) {
+    this.context = context;
+  }
+
+  /** Notes a signal; the first one starts the stop and the next one ends it. */
+  void signal() {
+    signals.offerReserved(new Signal());
+  }
+
+  /**
+   * Waits for the first signal, then until all requests have ended.
+   *
+   * @return whether no request was cut
+   */
+  boolean await() {
+    try {
+      while (signals.poll(PARK).isEmpty()) {
+        // Parks again.
+      }
+      return stop();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
+  }
+
+  private boolean stop() throws InterruptedException {
+    Now limit = announce(LIMIT);
+    boolean cut = false;
+    while (openRequests() > 0 && now().isBefore(limit.plus(GRACE))) {
+      if (signals.poll(CHECK).isPresent()) {
+        limit = announce(Duration.ZERO);
+      }
+      cut |= !now().isBefore(limit) && openRequests() > 0;
+    }
+    open().ifPresent(OpenRequests::closeIdle);
+    awaitClosed();
+    context.events().event("stop.ended").with("cut", cut).emit();
+    return !cut;
+  }
+
+  private Now announce(Duration time) {
+    Now limit = now().plus(time);
+    context.events().event("stop.started").with("limit-ms", time.toMillis()).emit();
+    context.publish(Broadcasts.STOPPING, new Broadcasts.Stopping(limit));
+    return limit;
+  }
+
+  /** The last responses are still being written after their requests have ended. */
+  private void awaitClosed() throws InterruptedException {
+    Now limit = now().plus(CLOSE_LIMIT);
+    while (open().map(OpenRequests::connections).orElse(0) > 0 && now().isBefore(limit)) {
+      signals.poll(CHECK);
+    }
+  }
+
+  private int openRequests() {
+    return open().map(OpenRequests::requests).orElse(0);
+  }
+
+  private Optional<OpenRequests> open() {
+    return context.service(OpenRequests.class);
+  }
+
+  private Now now() {
+    return context.time().now();
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/bergamotcross/entry/Signals.java
@@ -0,0 +1,40 @@
+package org.bergamotcross.entry;
+
+import java.lang.reflect.Proxy;
+
+/** Receives SIGTERM and SIGINT. */
+final class Signals {
+  private Signals() {}
+
+  /**
+   * Calls an action for each SIGTERM and SIGINT.
+   *
+   * <p>A shutdown hook would see the first signal only, and the process would end with code 143.
+   * {@code sun.misc.Signal} is part of the supported module {@code jdk.unsupported}; it is called
+   * by reflection because the compiler warns of it in a way that can't be suppressed.
+   *
+   * @param action called on a thread of the JVM; it must return at once
+   * @throws IllegalStateException if the JVM has no such module
+   */
+  static void onStop(Runnable action) {
+    try {
+      Class<?> signal = Class.forName("sun.misc.Signal");
+      Class<?> handler = Class.forName("sun.misc.SignalHandler");
+      Object proxy =
+          Proxy.newProxyInstance(
+              Signals.class.getClassLoader(),
+              new Class<?>[] {handler},
+              (self, method, arguments) -> {
+                action.run();
+                return null;
+              });
+      for (String name : new String[] {"TERM", "INT"}) {
+        signal
+            .getMethod("handle", signal, handler)
+            .invoke(null, signal.getConstructor(String.class).newInstance(name), proxy);
+      }
+    } catch (ReflectiveOperationException e) {
+      throw new IllegalStateException("the JVM lacks the module jdk.unsupported", e);
+    }
+  }
+}
--- a/entry/src/test/java/org/bergamotcross/entry/path/Caller.java
+++ b/entry/src/test/java/org/bergamotcross/entry/path/Caller.java
@@ -23,18 +23,18 @@
 
   /** Sends a request without a body and reads the response. */
   RawTarget.Received get(String path, String... headers) throws IOException {
-    send("GET " + path + " HTTP/1.1", "", headers);
+    start("GET " + path + " HTTP/1.1", "", headers);
     return read();
   }
 
   /** Sends a request with a body and reads the response. */
   RawTarget.Received send(String method, String path, String body, String... headers)
       throws IOException {
-    send(method + " " + path + " HTTP/1.1\r\nContent-Length: " + body.length(), body, headers);
+    start(method + " " + path + " HTTP/1.1\r\nContent-Length: " + body.length(), body, headers);
     return read();
   }
 
-  void send(String start, String body, String... headers) throws IOException {
+  void start(String start, String body, String... headers) throws IOException {
     StringBuilder text = new StringBuilder(start).append("\r\nHost: entry\r\n");
     for (String header : headers) {
       text.append(header).append("\r\n");
@@ -52,6 +52,17 @@
     return RawTarget.read(in);
   }
 
+  /** Closes the connection as a caller that gives up does. */
+  void leave() throws IOException {
+    socket.close();
+  }
+
+  /** Closes the connection with a reset, as a process that is killed does. */
+  void abort() throws IOException {
+    socket.setSoLinger(true, 0);
+    socket.close();
+  }
+
   static String key(String key) {
     return "Authorization: Bearer " + key;
   }
--- /dev/null
+++ b/entry/src/test/java/org/bergamotcross/entry/path/OwnAnswerTest.java
@@ -0,0 +1,169 @@
+package org.bergamotcross.entry.path;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.net.SocketException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a caller that gets part of its answer, or the answer to another (invariant 6). */
+class OwnAnswerTest {
+  private static final String KEY = Caller.key(EntryProcess.KEY);
+
+  @Nested
+  class Crossed {
+    @Test
+    void answersInReverseOrderReachTheirOwnCallers() throws Exception {
+      CountDownLatch secondAnswered = new CountDownLatch(1);
+      RawTarget.Behaviour reverse =
+          (connection, request) -> {
+            if (request.name().equals("first")) {
+              secondAnswered.await();
+            }
+            connection.write(RawTarget.ok(request.name()));
+          };
+      try (RawTarget target = new RawTarget(reverse);
+          EntryProcess entry = EntryProcess.start(List.of(target.port()));
+          Caller first = new Caller(entry.port());
+          Caller second = new Caller(entry.port())) {
+        first.start("GET /team/open/first HTTP/1.1", "", KEY, "X-Request-Id: same");
+        Await.until("the first request runs", () -> target.received().size() == 1);
+        assertThat(second.get("/team/open/second", KEY, "X-Request-Id: same").body())
+            .isEqualTo("second");
+        secondAnswered.countDown();
+        assertThat(first.read().body()).isEqualTo("first");
+      }
+    }
+
+    @Test
+    void surplusAnswerGoesToNobody() throws Exception {
+      RawTarget.Behaviour twice =
+          (connection, request) ->
+              connection.write(RawTarget.ok(request.name()) + RawTarget.ok("surplus"));
+      try (RawTarget target = new RawTarget(twice);
+          EntryProcess entry = EntryProcess.start(List.of(target.port()));
+          Caller caller = new Caller(entry.port())) {
+        for (int i = 0; i < 5; i++) {
+          RawTarget.Received response = caller.send("POST", "/team/open/r" + i, "", KEY);
+          assertThat(response.body()).doesNotContain("surplus");
+        }
+      }
+    }
+
+    @Test
+    void thousandCallersAtOnceGetTheirOwnAnswers() throws Exception {
+      List<RawTarget> targets = new ArrayList<>();
+      for (int i = 0; i < 6; i++) {
+        targets.add(RawTarget.echo());
+      }
+      try (EntryProcess entry = EntryProcess.start(targets.stream().map(RawTarget::port).toList());
+          ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor()) {
+        Map<String, Future<String>> answers = new HashMap<>();
+        CountDownLatch start = new CountDownLatch(1);
+        for (int i = 0; i < 1_000; i++) {
+          String name = "request-" + i;
+          answers.put(name, threads.submit(() -> answer(entry.port(), name, start)));
+        }
+        start.countDown();
+        for (Map.Entry<String, Future<String>> answer : answers.entrySet()) {
+          assertThat(answer.getValue().get()).isEqualTo(answer.getKey());
+        }
+      } finally {
+        for (RawTarget target : targets) {
+          target.close();
+        }
+      }
+    }
+
+    private String answer(int port, String name, CountDownLatch start) throws Exception {
+      try (Caller caller = new Caller(port)) {
+        start.await();
+        return caller.get("/team/open/" + name, KEY).body();
+      }
+    }
+  }
+
+  @Nested
+  class Late {
+    @Test
+    void answerAfterTheDeadlineReachesNobody() throws Exception {
+      CountDownLatch deadlinePassed = new CountDownLatch(1);
+      RawTarget.Behaviour late =
+          (connection, request) -> {
+            if (request.name().equals("slow")) {
+              deadlinePassed.await();
+            }
+            connection.write(RawTarget.ok(request.name()));
+          };
+      try (RawTarget target = new RawTarget(late);
+          EntryProcess entry = EntryProcess.start(List.of(target.port()));
+          Caller caller = new Caller(entry.port())) {
+        RawTarget.Received refused =
+            caller.get("/team/open/slow", KEY, "X-Request-Timeout-Ms: 100");
+        assertThat(Caller.refusal(refused)).isEqualTo("deadline-after-send/unknown");
+        deadlinePassed.countDown();
+        for (int i = 0; i < 10; i++) {
+          assertThat(caller.get("/team/open/next-" + i, KEY).body()).isEqualTo("next-" + i);
+        }
+      }
+    }
+  }
+
+  @Nested
+  class Cut {
+    @Test
+    void bodyOfKnownLengthNeverLooksWhole() throws Exception {
+      String start = "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n";
+      try {
+        RawTarget.Received cut = respond(start + "x".repeat(100_000));
+        assertThat(cut.body().length()).isLessThan(200_000);
+      } catch (SocketException e) {
+        // A reset is as plain to the caller as a short body.
+        assertThat(e).hasMessageThat().isEqualTo("Connection reset");
+      }
+    }
+
+    @Test
+    void chunkedBodyNeverLooksWhole() {
+      assertThrows(
+          IOException.class,
+          () -> respond("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n"));
+    }
+
+    @Test
+    void bodyThatEndsWithTheConnectionIsRefused() throws Exception {
+      assertThat(Caller.refusal(respond("HTTP/1.1 200 OK\r\n\r\npart")))
+          .isEqualTo("target-failed/unknown");
+    }
+
+    @Test
+    void headIsReportedAsUnknown() throws Exception {
+      assertThat(Caller.refusal(respond("HTTP/1.1 200 OK\r\nContent-")))
+          .isEqualTo("target-failed/unknown");
+    }
+
+    /** Sends a POST to a target that writes a text and closes the connection. */
+    private RawTarget.Received respond(String text) throws Exception {
+      RawTarget.Behaviour breaks =
+          (connection, request) -> {
+            connection.write(text);
+            connection.close();
+          };
+      try (RawTarget target = new RawTarget(breaks);
+          EntryProcess entry = EntryProcess.start(List.of(target.port()));
+          Caller caller = new Caller(entry.port())) {
+        return caller.send("POST", "/team/open/x", "body", KEY);
+      }
+    }
+  }
+}
