--- a/entry/src/main/java/org/bergamotcross/entry/duties/package-info.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/package-info.java
@@ -1,2 +1,2 @@
-/** The plug-ins that decide: admission and routing, each one a duty with its own thread. */
+/** The plug-ins that run the duties of an entry instance, each one with its own thread. */
 package org.bergamotcross.entry.duties;
--- a/entry/src/test/java/org/bergamotcross/entry/path/EntryProcess.java
+++ b/entry/src/test/java/org/bergamotcross/entry/path/EntryProcess.java
@@ -68,6 +68,8 @@
         callers = 127.0.0.1:%d
         peers = 127.0.0.1:%d
         operations = 127.0.0.1:%d
+        [platform]
+        address = 127.0.0.1:9
         [limits]
         ring-capacity = %d
         queue-capacity = 4096
