--- a/entry/src/main/java/org/bergamotcross/entry/duties/RoutingDuty.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/RoutingDuty.java
@@ -157,6 +157,10 @@
   /** A request that waited may have lost its key or its instance's right to act on keys. */
   private Optional<Refusal> refusalBeforeSend(InHand request, Now now) {
     AdmittedRequest admitted = request.admitted();
+    // A slot that a cut request leaves must not start another one.
+    if (view.isStopOver(now)) {
+      return Optional.of(new Refusal.Stopping());
+    }
     if (!now.isBefore(admitted.deadline())) {
       return Optional.of(new Refusal.DeadlineBeforeSend());
     }
@@ -325,7 +329,9 @@
         refuse(request, new Refusal.DeadlineAfterSend(sent.target().id().value()));
       }
       case InHand.Stage.Delivering delivering -> cutResponse(request, delivering, now);
-      default -> refuse(request, new Refusal.DeadlineBeforeSend());
+      case InHand.Stage.Ended ignored -> {}
+      case InHand.Stage.Waiting ignored -> refuse(request, new Refusal.DeadlineBeforeSend());
+      case InHand.Stage.BackingOff ignored -> refuse(request, new Refusal.DeadlineBeforeSend());
     }
   }
 
@@ -338,7 +344,9 @@
         refuse(request, new Refusal.TargetFailed(sent.target().id().value()));
       }
       case InHand.Stage.Delivering delivering -> cutResponse(request, delivering, now);
-      default -> refuse(request, new Refusal.Stopping());
+      case InHand.Stage.Ended ignored -> {}
+      case InHand.Stage.Waiting ignored -> refuse(request, new Refusal.Stopping());
+      case InHand.Stage.BackingOff ignored -> refuse(request, new Refusal.Stopping());
     }
   }
 
--- /dev/null
+++ b/entry/src/test/java/org/bergamotcross/entry/path/ClaimEndTest.java
@@ -0,0 +1,195 @@
+package org.bergamotcross.entry.path;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.bergamotcross.core.admission.Outcome;
+import org.bergamotcross.core.config.KeyHash;
+import org.bergamotcross.core.config.OrganisationId;
+import org.bergamotcross.core.config.PoolId;
+import org.bergamotcross.core.config.Route;
+import org.bergamotcross.entry.AdmissionInput;
+import org.bergamotcross.entry.AdmittedRequest;
+import org.bergamotcross.entry.CallerRequest;
+import org.bergamotcross.entry.RoutingInput;
+import org.bergamotcross.entry.Topics;
+import org.bergamotcross.kernel.DutyHandler;
+import org.bergamotcross.kernel.Now;
+import org.bergamotcross.kernel.Plugin;
+import org.bergamotcross.kernel.PluginContext;
+import org.bergamotcross.kernel.Ring;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a claim that is left open or closed with a wrong outcome (invariant 8). */
+class ClaimEndTest {
+  private static final String KEY = Caller.key(EntryProcess.KEY);
+
+  private final BlockingQueue<AdmissionInput.ClaimEnded> ends = new ArrayBlockingQueue<>(16);
+
+  @Nested
+  class Answers {
+    @Test
+    void smallOnesAreKept() throws Exception {
+      String body = "x".repeat(8 * 1024);
+      AdmissionInput.ClaimEnded end = end(answering(RawTarget.ok(body)), body);
+      assertThat(end.outcome()).isEqualTo(Outcome.RUN);
+      assertThat(end.answer().orElseThrow().body()).hasLength(body.length());
+      assertThat(end.answer().orElseThrow().status()).isEqualTo(200);
+    }
+
+    @Test
+    void smallChunkedOnesAreKept() throws Exception {
+      String chunked =
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n2\r\ncd\r\n0\r\n\r\n";
+      AdmissionInput.ClaimEnded end = end(answering(chunked), "abcd");
+      assertThat(end.answer().orElseThrow().body())
+          .isEqualTo("abcd".getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void largerOnesPassThroughWhole() throws Exception {
+      String body = "0123456789".repeat(10_000);
+      AdmissionInput.ClaimEnded end = end(answering(RawTarget.ok(body)), body);
+      assertThat(end.outcome()).isEqualTo(Outcome.RUN);
+      assertThat(end.answer()).isEqualTo(Optional.empty());
+    }
+  }
+
+  @Nested
+  class Failures {
+    @Test
+    void beforeTheHeadAreUnknown() throws Exception {
+      assertThat(end((connection, request) -> connection.close(), "").outcome())
+          .isEqualTo(Outcome.UNKNOWN);
+    }
+
+    @Test
+    void inTheBodyAreUnknown() throws Exception {
+      RawTarget.Behaviour half =
+          (connection, request) -> {
+            connection.write("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+            connection.close();
+          };
+      assertThat(end(half, "").outcome()).isEqualTo(Outcome.UNKNOWN);
+    }
+
+    @Test
+    void byDeadlineAreUnknown() throws Exception {
+      assertThat(end((connection, request) -> connection.awaitClose(), "").outcome())
+          .isEqualTo(Outcome.UNKNOWN);
+    }
+
+    @Test
+    void ofTargetsThatShedAreNotRun() throws Exception {
+      String shed = "HTTP/1.1 429 Busy\r\nX-Not-Run: true\r\nContent-Length: 0\r\n\r\n";
+      assertThat(end(answering(shed), "").outcome()).isEqualTo(Outcome.NOT_RUN);
+    }
+
+    @Test
+    void toConnectAreNotRun() throws Exception {
+      try (EntryProcess entry = start(EntryProcess.freePort());
+          Caller caller = new Caller(entry.port())) {
+        caller.send("POST", "/team/open/x", "order", KEY);
+        assertThat(ends.poll(5, TimeUnit.SECONDS).outcome()).isEqualTo(Outcome.NOT_RUN);
+      }
+    }
+
+    @Test
+    void ofCallersThatLeaveAreUnknown() throws Exception {
+      try (RawTarget target = new RawTarget((connection, request) -> connection.awaitClose());
+          EntryProcess entry = start(target.port());
+          Caller caller = new Caller(entry.port())) {
+        caller.start("POST /team/open/x HTTP/1.1\r\nContent-Length: 0", "", KEY);
+        Await.until("the request runs", () -> target.received().size() == 1);
+        caller.leave();
+        assertThat(ends.poll(5, TimeUnit.SECONDS).outcome()).isEqualTo(Outcome.UNKNOWN);
+      }
+    }
+  }
+
+  private static RawTarget.Behaviour answering(String text) {
+    return (connection, request) -> connection.write(text);
+  }
+
+  /** Runs one claimed request and returns how its claim ended. */
+  private AdmissionInput.ClaimEnded end(RawTarget.Behaviour behaviour, String body)
+      throws Exception {
+    try (RawTarget target = new RawTarget(behaviour);
+        EntryProcess entry = start(target.port());
+        Caller caller = new Caller(entry.port())) {
+      RawTarget.Received response = caller.send("POST", "/team/open/x", "order", KEY);
+      if (!body.isEmpty()) {
+        assertThat(response.body()).isEqualTo(body);
+      }
+      AdmissionInput.ClaimEnded end = ends.poll(5, TimeUnit.SECONDS);
+      Await.until("nothing is open", () -> entry.open().requests() == 0);
+      assertThat(ends).isEmpty();
+      return end;
+    }
+  }
+
+  private EntryProcess start(int target) throws Exception {
+    return EntryProcess.start(List.of(target), 4096, 4, Optional.of(new Claiming()));
+  }
+
+  /** Admits each request as claimed, with a deadline of 1 s, and notes how claims end. */
+  private final class Claiming implements Plugin {
+    @Override
+    public String name() {
+      return "admission";
+    }
+
+    @Override
+    public void configure(PluginContext context) {
+      context.open(Topics.ADMISSION, 64);
+    }
+
+    @Override
+    public void start(PluginContext context) {
+      Ring<RoutingInput> routing = context.ring(Topics.ROUTING).orElseThrow();
+      context.startDuty(
+          Topics.ADMISSION,
+          new DutyHandler<AdmissionInput>() {
+            @Override
+            public void onMessage(AdmissionInput message, Now now) {
+              switch (message) {
+                case AdmissionInput.Arrived arrived ->
+                    routing.offer(new RoutingInput.Admitted(claimed(arrived.request())));
+                case AdmissionInput.ClaimEnded end -> ends.add(end);
+                default -> {}
+              }
+            }
+
+            @Override
+            public Duration onTick(Now now) {
+              return Duration.ofSeconds(1);
+            }
+          });
+    }
+
+    private AdmittedRequest claimed(CallerRequest request) {
+      return new AdmittedRequest(
+          request,
+          new OrganisationId("team/customer"),
+          KeyHash.of(EntryProcess.KEY),
+          new Route(
+              "team/open",
+              "/team/open",
+              new PoolId("team/pool"),
+              java.util.Set.of("POST"),
+              java.util.Set.of(),
+              java.util.Set.of(),
+              Duration.ofSeconds(1)),
+          false,
+          true,
+          request.receivedAt().plus(Duration.ofSeconds(1)));
+    }
+  }
+}
--- a/entry/src/test/java/org/bergamotcross/entry/path/EntryProcess.java
+++ b/entry/src/test/java/org/bergamotcross/entry/path/EntryProcess.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.bergamotcross.core.config.Configuration;
 import org.bergamotcross.core.config.Key;
@@ -57,6 +58,13 @@
   }
 
   static EntryProcess start(List<Integer> targets, int ringCapacity, int slots) throws Exception {
+    return start(targets, ringCapacity, slots, Optional.empty());
+  }
+
+  /** Starts an instance in which a plug-in of a test stands for admission. */
+  static EntryProcess start(
+      List<Integer> targets, int ringCapacity, int slots, Optional<Plugin> admission)
+      throws Exception {
     int port = freePort();
     int operationsPort = freePort();
     String text =
@@ -77,8 +85,12 @@
         max-timeout-ms = 10000
         """
             .formatted(port, freePort(), operationsPort, ringCapacity);
-    List<Plugin> plugins =
-        Kernel.discoverPlugins().stream().filter(EntryProcess::isOnThePath).toList();
+    List<Plugin> plugins = new ArrayList<>();
+    for (Plugin plugin : Kernel.discoverPlugins()) {
+      if (isOnThePath(plugin)) {
+        plugins.add(admission.filter(other -> other.name().equals(plugin.name())).orElse(plugin));
+      }
+    }
     Kernel kernel = new Kernel(plugins, settings(text, plugins), TimeSource.system());
     try {
       kernel.start();
--- /dev/null
+++ b/entry/src/test/java/org/bergamotcross/entry/path/OrganisationTest.java
@@ -0,0 +1,55 @@
+package org.bergamotcross.entry.path;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a request that runs for another organisation than its key's (invariant 2). */
+class OrganisationTest {
+
+  @Nested
+  class OpenRoutes {
+    @Test
+    void runEachRequestForTheOrganisationOfItsKey() throws Exception {
+      RawTarget.Behaviour tells =
+          (connection, request) -> connection.write(RawTarget.ok(request.header("x-organisation")));
+      try (RawTarget target = new RawTarget(tells);
+          EntryProcess entry = EntryProcess.start(List.of(target.port()));
+          ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor()) {
+        List<Future<Void>> callers = new ArrayList<>();
+        for (int i = 0; i < 16; i++) {
+          callers.add(threads.submit(() -> alternate(entry.port())));
+        }
+        for (Future<Void> caller : callers) {
+          caller.get();
+        }
+        assertThat(target.connections()).isLessThan(100);
+      }
+    }
+
+    /** Sends requests of both organisations in turn, over one connection and over shared slots. */
+    private Void alternate(int port) throws Exception {
+      try (Caller caller = new Caller(port)) {
+        for (int i = 0; i < 20; i++) {
+          assertThat(
+                  caller
+                      .get(
+                          "/team/open/x",
+                          Caller.key(EntryProcess.KEY),
+                          "X-Organisation: team/other")
+                      .body())
+              .isEqualTo("team/customer");
+          assertThat(caller.get("/team/open/x", "X-Api-Key: " + EntryProcess.OTHER_KEY).body())
+              .isEqualTo("team/other");
+        }
+      }
+      return null;
+    }
+  }
+}
