Follow the reader of the log in the command line

Cause: the reader takes one page record since it recognises old pages, and the command line was merged with the earlier call. Change: the command line hands over the first offset that it asked for.

--- a/cli/src/main/java/org/bergamotcross/cli/PlatformLog.java
+++ b/cli/src/main/java/org/bergamotcross/cli/PlatformLog.java
@@ -59,14 +59,15 @@
   Optional<String> readToHead(TimeLimit limit) {
     String problem = "no time left";
     while (!limit.isOver()) {
+      long from = reader.nextOffset();
       PlatformClient.ReadResult result =
           client
-              .read(PlatformClient.CONTROL_STREAM, reader.nextOffset(), PAGE, Duration.ZERO)
+              .read(PlatformClient.CONTROL_STREAM, from, PAGE, Duration.ZERO)
               .toCompletableFuture()
               .join();
       switch (result) {
         case PlatformClient.ReadResult.Page page -> {
-          if (take(page)) {
+          if (take(from, page)) {
             return Optional.empty();
           }
           problem = "the records from offset " + reader.nextOffset() + " on are not readable";
@@ -87,7 +88,7 @@
     return Optional.of(problem);
   }
 
-  private boolean take(PlatformClient.ReadResult.Page page) {
+  private boolean take(long from, PlatformClient.ReadResult.Page page) {
     List<LogReader.Entry> entries = new ArrayList<>();
     Map<Long, String> editIds = new HashMap<>();
     for (PlatformClient.LogRecord record : page.records()) {
@@ -103,7 +104,9 @@
       entries.add(new LogReader.Entry(record.offset(), content));
     }
     LogReader.PageResult result =
-        reader.page(page.earliest(), page.next(), entries, entries.size() == PAGE);
+        reader.page(
+            new LogReader.Page(
+                from, page.earliest(), page.next(), entries, entries.size() == PAGE));
     for (LogReader.Step step : result.steps()) {
       Optional.ofNullable(editIds.get(step.offset()))
           .ifPresent(id -> judged.putIfAbsent(id, step.result()));
