Count only processes that the log records towards freshness

Cause: a restarted instance was counted by its id, although it has forgotten what a majority may have known through it. With a log outage and a partition, an instance could go on without a withdrawal that a majority had read. Ruled out: counting a restarted process once it is fresh again, because its beats do not say so; withholding its configuration, because the exchange needs the members from it. Change: echoes count by incarnation, and the instance itself counts only as the recorded incarnation. Reviews of members and freshness run every 200 ms instead of at each message, because their time grows with the members.

--- a/cli/src/main/java/org/bergamotcross/cli/EventSentence.java
+++ b/cli/src/main/java/org/bergamotcross/cli/EventSentence.java
@@ -60,21 +60,35 @@
               + ".";
       case "caller.gone" -> "The caller closed its connection before it had the whole response.";
       case "target.ejected" ->
-          target(event) + " gets no more work from any instance: " + fault(event)
-              + " The next trial is in " + event.value("trial-in-ms") + " ms.";
+          target(event)
+              + " gets no more work from any instance: "
+              + fault(event)
+              + " The next trial is in "
+              + event.value("trial-in-ms")
+              + " ms.";
       case "target.path-fault" ->
           target(event) + " gets no more work from this failure domain only: " + fault(event);
       case "target.ejection-refused" ->
-          target(event) + " looks faulty but stays in use, because only " + event.value("left")
-              + " targets would be left and the floor is " + event.value("floor") + ": "
+          target(event)
+              + " looks faulty but stays in use, because only "
+              + event.value("left")
+              + " targets would be left and the floor is "
+              + event.value("floor")
+              + ": "
               + fault(event);
       case "target.trial" -> target(event) + " gets one idempotent request as a trial.";
       case "target.trial-failed" ->
-          target(event) + " failed its trial; the next one is in " + event.value("trial-in-ms")
+          target(event)
+              + " failed its trial; the next one is in "
+              + event.value("trial-in-ms")
               + " ms.";
       case "target.readmitted" ->
-          target(event) + " gets work again, with weight " + event.value("weight") + ", after "
-              + event.value("cause") + ".";
+          target(event)
+              + " gets work again, with weight "
+              + event.value("weight")
+              + ", after "
+              + event.value("cause")
+              + ".";
       case "target.leaving" -> target(event) + " is leaving and gets no new work.";
       default -> "Event " + event.name() + pairs(event.values()) + ".";
     };
--- a/core/src/main/java/org/bergamotcross/core/membership/FreshnessTracker.java
+++ b/core/src/main/java/org/bergamotcross/core/membership/FreshnessTracker.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.bergamotcross.kernel.Now;
 
 /**
@@ -37,9 +39,9 @@
    */
   public record Confirmation(Now validUntil, Source source) {}
 
-  private record Echo(Now beatSentAt, long offset) {}
+  private record Echo(long incarnation, Now beatSentAt, long offset) {}
 
-  private final InstanceId self;
+  private final Member self;
   private final Map<InstanceId, Echo> echoes = new HashMap<>();
   private Optional<Confirmation> latest = Optional.empty();
 
@@ -48,7 +50,7 @@
    *
    * @param self the instance
    */
-  public FreshnessTracker(InstanceId self) {
+  public FreshnessTracker(Member self) {
     this.self = self;
   }
 
@@ -70,13 +72,14 @@
    * Takes an answer of a peer.
    *
    * @param peer the peer
+   * @param incarnation the process that answers
    * @param beatSentAt when this instance sent the beat that is echoed
    * @param offset the offset that the peer has folded
    */
-  public void echoed(InstanceId peer, Now beatSentAt, long offset) {
+  public void echoed(InstanceId peer, long incarnation, Now beatSentAt, long offset) {
     echoes.merge(
         peer,
-        new Echo(beatSentAt, offset),
+        new Echo(incarnation, beatSentAt, offset),
         (old, fresh) -> fresh.beatSentAt().isBefore(old.beatSentAt()) ? old : fresh);
   }
 
@@ -113,29 +116,29 @@
    * @param now the present time
    */
   public void forgetSilent(Members members, Now now) {
+    Set<InstanceId> ids = members.list().stream().map(Member::id).collect(Collectors.toSet());
     echoes
         .entrySet()
-        .removeIf(
-            entry -> members.find(entry.getKey()).isEmpty() && !isRecent(entry.getValue(), now));
+        .removeIf(entry -> !ids.contains(entry.getKey()) && !isRecent(entry.getValue(), now));
   }
 
   /**
    * Finds the time by which a majority, this instance included, has answered.
    *
-   * <p>The instance itself counts as answering now. A peer that has folded nothing knows nothing
-   * that it could confirm, so it doesn't count.
+   * <p>The instance itself counts as answering now. A process counts only if it is the one that the
+   * log records: after a restart it has forgotten what a majority may have known through it, and
+   * becomes a member again only by reading the log up to its head.
    */
   private Optional<Now> majorityEchoedAt(Members members, Now now) {
-    boolean isMember = members.find(self).isPresent();
+    boolean isMember = members.find(self.id()).filter(this::isSelf).isPresent();
     int needed = members.majority() - (isMember ? 1 : 0);
     if (needed == 0) {
       return Optional.of(now);
     }
     List<Now> answers =
         members.list().stream()
-            .filter(member -> !member.id().equals(self))
-            .flatMap(member -> Optional.ofNullable(echoes.get(member.id())).stream())
-            .filter(echo -> echo.offset() >= 0)
+            .filter(member -> !member.id().equals(self.id()))
+            .flatMap(member -> answerOf(member).stream())
             .map(Echo::beatSentAt)
             .sorted(Comparator.reverseOrder())
             .toList();
@@ -152,6 +155,15 @@
     return now.since(echo.beatSentAt()).compareTo(VALIDITY) <= 0;
   }
 
+  private boolean isSelf(Member member) {
+    return member.incarnation() == self.incarnation();
+  }
+
+  private Optional<Echo> answerOf(Member member) {
+    return Optional.ofNullable(echoes.get(member.id()))
+        .filter(echo -> echo.incarnation() == member.incarnation());
+  }
+
   private void confirm(Now at, Source source) {
     Now until = at.plus(VALIDITY);
     if (latest.isEmpty() || latest.get().validUntil().isBefore(until)) {
--- a/core/src/main/java/org/bergamotcross/core/membership/PeerWatch.java
+++ b/core/src/main/java/org/bergamotcross/core/membership/PeerWatch.java
@@ -4,6 +4,8 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.bergamotcross.kernel.Now;
 
 /**
@@ -18,6 +20,7 @@
   private final Map<InstanceId, Now> heardAt = new HashMap<>();
   private final Map<InstanceId, Member> known = new HashMap<>();
   private final Map<InstanceId, Now> memberSince = new HashMap<>();
+  private Members current = Members.NONE;
   private Optional<Now> majoritySince = Optional.empty();
   private Optional<Now> updatedAt = Optional.empty();
 
@@ -47,12 +50,8 @@
    * @param now the present time
    */
   public void update(Members members, Now now) {
-    known.keySet().removeIf(id -> members.find(id).isEmpty());
-    memberSince.keySet().retainAll(known.keySet());
-    for (Member member : members.list()) {
-      if (!member.equals(known.put(member.id(), member))) {
-        memberSince.put(member.id(), now);
-      }
+    if (!members.equals(current)) {
+      change(members, now);
     }
     heardAt
         .entrySet()
@@ -74,6 +73,18 @@
     }
   }
 
+  private void change(Members members, Now now) {
+    current = members;
+    Set<InstanceId> ids = members.list().stream().map(Member::id).collect(Collectors.toSet());
+    known.keySet().retainAll(ids);
+    memberSince.keySet().retainAll(ids);
+    for (Member member : members.list()) {
+      if (!member.equals(known.put(member.id(), member))) {
+        memberSince.put(member.id(), now);
+      }
+    }
+  }
+
   /**
    * Returns how long a member has been silent while a majority answered.
    *
--- a/entry/src/main/java/org/bergamotcross/entry/duties/ConfigDuty.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/ConfigDuty.java
@@ -39,6 +39,8 @@
 /** Folds the log, tells the other duties what is in force, and keeps the membership. */
 final class ConfigDuty implements DutyHandler<ConfigInput> {
   private static final Duration TICK = Duration.ofMillis(50);
+  // Work that takes time in the number of members; freshness counts in seconds.
+  private static final Duration REVIEW_INTERVAL = Duration.ofMillis(200);
   private static final Duration LIST_INTERVAL = Duration.ofSeconds(1);
 
   private final Member self;
@@ -61,6 +63,7 @@
   private Set<TargetId> leaving = Set.of();
   private Optional<Freshness> published = Optional.empty();
   private Optional<Now> atHeadAt = Optional.empty();
+  private Optional<Now> nextReviewAt = Optional.empty();
   private Optional<Now> nextListAt = Optional.empty();
   private boolean scanningReported;
 
@@ -80,7 +83,7 @@
     this.statusReceiver = statusReceiver;
     this.follower = new LogFollower(client, reader, completions);
     this.membership = new MembershipKeeper(self, client, completions, events);
-    this.freshness = new FreshnessTracker(self.id());
+    this.freshness = new FreshnessTracker(self);
     this.readFailures = context.metrics().meter("config.read-failures");
     this.publishTime = context.metrics().timer("config.publish");
   }
@@ -95,19 +98,25 @@
       case ConfigInput.FromPeer message -> fromPeer(message.from(), message.message(), now);
       case ConfigInput.Stop stop -> membership.stop();
     }
-    refresh(now);
   }
 
   @Override
   public Duration onTick(Now now) {
-    pollList(now);
     follower.poll(now);
-    membership.act(fold, isAtHead(now), now);
     askPeer(now);
+    if (nextReviewAt.isEmpty() || !now.isBefore(nextReviewAt.get())) {
+      nextReviewAt = Optional.of(now.plus(REVIEW_INTERVAL));
+      review(now);
+    }
+    return TICK;
+  }
+
+  private void review(Now now) {
+    pollList(now);
+    membership.act(fold, isAtHead(now), now);
     freshness.forgetSilent(fold.members(), now);
     catchUp.retain(freshness.offsets().keySet());
     refresh(now);
-    return TICK;
   }
 
   // Appends rest on a state that was the head a short time ago; an older one may be superseded.
@@ -125,6 +134,7 @@
     }
     reportScanning();
     follower.poll(now);
+    refresh(now);
   }
 
   private void page(ReadResult.Page page, ConfigInput.ReadEnded ended, Now now) {
@@ -275,10 +285,12 @@
 
   private void echoed(Broadcasts.PeerEcho echo, Now now) {
     InstanceId peer = echo.peer().id();
-    freshness.echoed(peer, echo.beatSentAt(), echo.offset());
+    freshness.echoed(peer, echo.peer().incarnation(), echo.beatSentAt(), echo.offset());
     membership.echoed(peer, echo.beatSentAt());
     catchUp.echoed(peer, echo.offset());
-    askPeer(now);
+    if (echo.offset() > fold.offset()) {
+      askPeer(now);
+    }
   }
 
   private void askPeer(Now now) {
@@ -315,7 +327,7 @@
         }
       }
       case PeerMessage.Records records -> recordsOf(from, records, now);
-      case PeerMessage.Snapshot snapshot -> snapshotOf(from, snapshot);
+      case PeerMessage.Snapshot snapshot -> snapshotOf(from, snapshot, now);
     }
   }
 
@@ -329,9 +341,10 @@
     folded(reader.recordsOfPeer(LogFollower.entries(records)), records, now);
     catchUp.answered(from.id(), fold.offset() > before);
     askPeer(now);
+    refresh(now);
   }
 
-  private void snapshotOf(Sender from, PeerMessage.Snapshot answer) {
+  private void snapshotOf(Sender from, PeerMessage.Snapshot answer, Now now) {
     Optional<RecordCodec.Decoded> decoded = base64(answer.record()).map(RecordCodec::decode);
     if (decoded.isPresent()
         && decoded.get() instanceof RecordCodec.Decoded.Understood understood
@@ -340,6 +353,7 @@
       events.event("config.adopted").with("peer", from.id()).with("offset", fold.offset()).emit();
       catchUp.answered(from.id(), true);
       publish();
+      refresh(now);
     }
   }
 
