Wait for contradiction before an ejection, and tell busy from stalled

Cause: an instance ejected on its own first stalled request before peers could contradict it, and judged contradiction by the latest stall, which moved on with each new request. Requests that take ten times as long than usual fill the slots of a target for a moment, which looked like a stall. An instance with few requests kept the threshold of the time before the pool became slow. Ruled out: a longer threshold (costs detection time). Change: a stall is the first open request without a later success; a target that completes other requests, however long they took, is busy and not stalled. Peers whose success refutes a stall say so at once, and every instance waits 100 ms before it acts; while others get answers, a path fault needs three stalled requests. The threshold uses the larger of the own usual latency, from targets that were used in the last 10 s, and the median of what peers told. Requests lost on the path from here are not told as in flight: they kept the other failure domains away from a healthy target. A first ejection is taken back when the target does work within 900 ms. Still open: slow-everywhere, where the first stall of a pool that has become 50 times as slow is ejected and taken back 50 ms later.

--- a/core/src/main/java/org/bergamotcross/core/routing/FaultJudge.java
+++ b/core/src/main/java/org/bergamotcross/core/routing/FaultJudge.java
@@ -1,5 +1,7 @@
 package org.bergamotcross.core.routing;
 
+import static org.bergamotcross.core.routing.FaultKind.STALLED;
+
 import java.time.Duration;
 import java.util.Collection;
 import java.util.List;
@@ -21,6 +23,9 @@
   /** Makes three failures in a row the least that counts. */
   static final double LEAST_EXCESS = 1.5;
 
+  /** While others get answers, two requests that take long are no fault of the path. */
+  static final int LEAST_STALLS = 3;
+
   /** What the pool looks like apart from the target. */
   record Context(
       InstanceId self,
@@ -52,9 +57,9 @@
     Set<FailureDomain> certain =
         domains(stalled, observation -> !isContradictedAtHome(observation, stalled, others));
     Now latest = latestStall(stalled);
-    boolean contradicted = others.stream().anyMatch(o -> o.succeededAfter(latest));
+    boolean contradicted = others.stream().anyMatch(o -> o.contradicts(latest));
     HealthDecision.Evidence evidence =
-        evidence(FaultKind.STALLED, stalled, seen, now.since(latest), clean, context);
+        evidence(STALLED, stalled, seen, now.since(latest), clean, context);
     return verdict(stalled, certain, contradicted, evidence, context);
   }
 
@@ -62,8 +67,7 @@
       Observation observation, List<Observation> stalled, List<Observation> others) {
     FailureDomain home = observation.failureDomain();
     Now latest = latestStall(stalled.stream().filter(o -> o.failureDomain().equals(home)).toList());
-    return others.stream()
-        .anyMatch(o -> o.failureDomain().equals(home) && o.succeededAfter(latest));
+    return others.stream().anyMatch(o -> o.failureDomain().equals(home) && o.contradicts(latest));
   }
 
   private static Now latestStall(Collection<Observation> stalled) {
@@ -79,9 +83,12 @@
     if (certain.size() > 1 || (certain.size() == 1 && !contradicted)) {
       return new Verdict.Fleet(evidence);
     }
-    boolean mine =
-        certain.contains(context.ownDomain())
-            || faulty.stream().anyMatch(o -> o.observer().equals(context.self()));
+    List<Observation> atHome =
+        faulty.stream().filter(o -> o.failureDomain().equals(context.ownDomain())).toList();
+    boolean self = atHome.stream().anyMatch(o -> o.observer().equals(context.self()));
+    int seen =
+        atHome.stream().mapToInt(o -> evidence.kind() == STALLED ? o.stalls() : LEAST_STALLS).sum();
+    boolean mine = seen >= LEAST_STALLS && (self || certain.contains(context.ownDomain()));
     return mine ? new Verdict.Path(evidence) : new Verdict.Elsewhere();
   }
 
--- a/core/src/main/java/org/bergamotcross/core/routing/HealthDecision.java
+++ b/core/src/main/java/org/bergamotcross/core/routing/HealthDecision.java
@@ -108,6 +108,8 @@
     CONTRADICTED("contradicted"),
     /** The whole pool is slow, so the fault is not this target's. */
     SLOW_EVERYWHERE("slow-everywhere"),
+    /** It did work again right after its first ejection. */
+    RECOVERED("recovered"),
     /** Too few targets were left. */
     FLOOR("floor");
 
--- a/core/src/main/java/org/bergamotcross/core/routing/OwnEvidence.java
+++ b/core/src/main/java/org/bergamotcross/core/routing/OwnEvidence.java
@@ -23,12 +23,18 @@
   private OptionalDouble averageNanos = OptionalDouble.empty();
   private Optional<Now> stall = Optional.empty();
   private Optional<Now> success = Optional.empty();
+  private Optional<Now> progress = Optional.empty();
+  private Optional<Now> slowSince = Optional.empty();
   private Optional<Now> failure = Optional.empty();
+  private int openStalls;
+  private int endedStalls;
   private double openNanos;
   private Now countedUntil;
+  private Now averagedAt;
 
   OwnEvidence(Now now) {
     this.countedUntil = now;
+    this.averagedAt = now;
   }
 
   void started(String attempt, Now now) {
@@ -49,6 +55,9 @@
     answering(attempt);
     Now start = answering.remove(attempt);
     if (start != null) {
+      if (now.since(start).compareTo(threshold) >= 0 && !isRefuted(start)) {
+        endedStalls++;
+      }
       judge(start, result, timeToHead, threshold, now);
     }
   }
@@ -76,14 +85,19 @@
   private void completed(Now start, Duration timeToHead, Duration threshold, Now now) {
     ends.add(now);
     double nanos = timeToHead.toNanos();
-    averageNanos =
-        OptionalDouble.of(
-            averageNanos.isPresent()
-                ? averageNanos.getAsDouble() * (1 - NEWEST_SHARE) + nanos * NEWEST_SHARE
-                : nanos);
+    double known = averageNanos.orElse(nanos);
+    // After a quiet time the old average says less.
+    double quiet = now.since(averagedAt).toNanos() / (double) DecayingCount.MEAN_AGE.toNanos();
+    double share = Math.max(NEWEST_SHARE, 1 - Math.exp(-quiet));
+    averageNanos = OptionalDouble.of(known * (1 - share) + nanos * share);
+    averagedAt = now;
+    progress = Optional.of(now);
     if (timeToHead.compareTo(threshold) <= 0) {
       success = Optional.of(latest(success, start));
     }
+    if (stall.isPresent() && isRefuted(stall.get())) {
+      endedStalls = 0;
+    }
   }
 
   private void failed(Now start, Now now) {
@@ -105,18 +119,45 @@
         });
   }
 
-  /** Notes the latest start of an open request that is older than the threshold. */
+  /** Notes the first open request that is older than the threshold and has no later success. */
   void update(Duration threshold, Now now) {
     open.values().removeIf(start -> now.since(start).compareTo(LOST_AFTER) > 0);
     answering.values().removeIf(start -> now.since(start).compareTo(LOST_AFTER) > 0);
+    openStalls = 0;
+    slowSince = Optional.empty();
     for (Now start : open.values()) {
-      if (now.since(start).compareTo(threshold) < 0) {
+      Duration age = now.since(start);
+      if (age.multipliedBy(2).compareTo(threshold) < 0) {
         return;
       }
-      stall = Optional.of(latest(stall, start));
+      if (!isRefuted(start)) {
+        slowSince = slowSince.or(() -> Optional.of(start));
+        if (age.compareTo(threshold) >= 0) {
+          openStalls++;
+          noteStall(start);
+        }
+      }
     }
   }
 
+  /** A target that completes other requests is busy, not stalled. */
+  private boolean isRefuted(Now start) {
+    return Observation.isRefuted(start, success, progress);
+  }
+
+  private void noteStall(Now start) {
+    if (stall.isEmpty() || isRefuted(stall.get())) {
+      stall = Optional.of(start);
+    }
+  }
+
+  /** Tells whether the average or an open request is from the last few seconds. */
+  boolean isRecent(Now now) {
+    return !open.isEmpty()
+        || (averageNanos.isPresent()
+            && now.since(averagedAt).compareTo(DecayingCount.MEAN_AGE) < 0);
+  }
+
   /** Returns the average time to the head, or the age of an open request if that is larger. */
   OptionalDouble estimateNanos(boolean withOpen, Now now) {
     if (!withOpen || open.isEmpty()) {
@@ -130,13 +171,24 @@
         Math.max(averageNanos.orElse(0), (double) now.since(oldest).toNanos()));
   }
 
+  Optional<Now> success() {
+    return success;
+  }
+
+  Optional<Now> progress() {
+    return progress;
+  }
+
   Observation observation(TargetHealth target, Now now) {
     return new Observation(
         target.self(),
         target.ownDomain(),
         stall,
         success,
+        progress,
+        slowSince,
         failure,
+        openStalls + endedStalls,
         failures.value(now),
         ends.value(now),
         now);
--- a/core/src/main/java/org/bergamotcross/core/routing/PoolHealth.java
+++ b/core/src/main/java/org/bergamotcross/core/routing/PoolHealth.java
@@ -193,7 +193,7 @@
       return decisions;
     }
     origins.put(report.observer(), new Origin(report.incarnation(), report.sequence()));
-    usual.reported(report.observer(), report.usualLatency());
+    usual.reported(report.observer(), report.usualLatency(), now);
     for (TargetEvidence evidence : report.targets()) {
       TargetHealth health = targets.get(evidence.target());
       if (health != null) {
@@ -221,6 +221,7 @@
       boolean stalled = target.ownObservation(now).stalledSince(target.cleanSince());
       target.advance(usual.threshold(), now, decisions::add);
       urgent |= !stalled && target.ownObservation(now).stalledSince(target.cleanSince());
+      urgent |= target.mustContradict();
     }
     boolean suspicious = isSuspicious(now);
     if (suspicious) {
@@ -265,7 +266,8 @@
     targets.forEach(
         (id, target) -> {
           double average = target.own().takeAverageOpen(now, interval);
-          if (average >= 0.01) {
+          // Requests that are lost on the way from here take no slot at the target.
+          if (average >= 0.01 && !target.hasPathFault()) {
             averages.put(id, average);
           }
         });
@@ -313,6 +315,7 @@
     }
     List<TargetEvidence> evidence =
         targets.values().stream().flatMap(t -> evidence(t, now).stream()).toList();
+    targets.values().forEach(TargetHealth::told);
     return Optional.of(
         new PoolReport(self, incarnation, ownDomain, sequence++, pool.id(), usual.own(), evidence));
   }
@@ -332,6 +335,8 @@
                 target.target().id(),
                 stall,
                 success,
+                own.progress().map(now::since),
+                own.slowSince().map(now::since),
                 own.failure().map(now::since),
                 own.failures(),
                 own.ends(),
@@ -373,35 +378,44 @@
     verdicts.forEach((target, verdict) -> apply(target, verdict, seen.get(target), decisions, now));
   }
 
-  /** More targets stall than work, since the first of them stalled. */
+  /** More targets are slow than work, since the first of them became slow. */
   private static boolean isSlowEverywhere(Map<TargetHealth, List<Observation>> seen, Now now) {
     Now first = now;
-    int stalled = 0;
-    for (Map.Entry<TargetHealth, List<Observation>> entry : seen.entrySet()) {
-      Optional<Now> stall = recentStall(entry.getKey(), entry.getValue(), now);
-      stalled += stall.isPresent() ? 1 : 0;
-      first = stall.filter(first::isAfter).orElse(first);
+    int slow = 0;
+    for (List<Observation> observations : seen.values()) {
+      Optional<Now> since = slowSince(observations, now);
+      slow += since.isPresent() ? 1 : 0;
+      first = since.filter(first::isAfter).orElse(first);
     }
-    if (stalled < 2) {
+    if (slow < 2) {
       return false;
     }
     int working = 0;
-    for (Map.Entry<TargetHealth, List<Observation>> entry : seen.entrySet()) {
+    for (List<Observation> observations : seen.values()) {
       Now since = first;
-      boolean works = entry.getValue().stream().anyMatch(o -> o.succeededAfter(since));
-      if (works && recentStall(entry.getKey(), entry.getValue(), now).isEmpty()) {
-        working++;
-      }
+      boolean works = observations.stream().anyMatch(o -> o.contradicts(since));
+      working += works && slowSince(observations, now).isEmpty() ? 1 : 0;
     }
-    return stalled > working;
+    return slow > working;
+  }
+
+  /** A target is slow from its recent stall on, or since a request that may become one. */
+  private static Optional<Now> slowSince(Collection<Observation> seen, Now now) {
+    return recentStall(seen, now)
+        .or(
+            () ->
+                seen.stream()
+                    .flatMap(o -> o.slowSince().stream())
+                    .filter(start -> now.since(start).compareTo(POOL_MEMORY) < 0)
+                    .filter(start -> seen.stream().noneMatch(o -> o.contradicts(start)))
+                    .max(Now::compareTo));
   }
 
-  private static Optional<Now> recentStall(
-      TargetHealth target, Collection<Observation> seen, Now now) {
+  private static Optional<Now> recentStall(Collection<Observation> seen, Now now) {
+    Now memory = now.plus(POOL_MEMORY.negated());
     return seen.stream()
-        .filter(o -> o.stalledSince(target.cleanSince()))
+        .filter(o -> o.stalledSince(memory))
         .flatMap(o -> o.stall().stream())
-        .filter(start -> now.since(start).compareTo(POOL_MEMORY) < 0)
         .max(Now::compareTo);
   }
 
@@ -438,7 +452,7 @@
       TargetHealth target, Verdict verdict, List<HealthDecision> decisions, Now now) {
     switch (verdict) {
       case Verdict.Fleet fleet -> {
-        if (isOwn(target, now) || isGraceOver(target, now)) {
+        if (isGraceOver(target, now)) {
           eject(target, TargetStatus.Reason.EJECTED, fleet.evidence(), decisions, now);
         }
       }
@@ -516,6 +530,9 @@
           pathFault(target, path.evidence(), decisions);
       case Verdict.Path ignored -> {}
       case Verdict.Fleet ignored -> {}
+      // It was busy or stopped for a moment; the next time a trial decides.
+      case Verdict.Fine ignored when target.faults() == 1 ->
+          target.reinstate(HealthDecision.Cause.RECOVERED, now, decisions::add);
       case Verdict.Fine ignored -> {}
     }
   }
@@ -580,8 +597,9 @@
       case HealthDecision.TrialStarted ignored -> true;
       case HealthDecision.TrialFailed ignored -> true;
       case HealthDecision.Left ignored -> true;
-      case HealthDecision.Ejected ignored -> true;
-      case HealthDecision.PathFault ignored -> true;
+      // The evidence went out when the target became suspect.
+      case HealthDecision.Ejected ignored -> false;
+      case HealthDecision.PathFault ignored -> false;
       case HealthDecision.Readmitted readmitted -> readmitted.cause() == HealthDecision.Cause.TRIAL;
       case HealthDecision.EjectionRefused ignored -> false;
     };
--- a/core/src/main/java/org/bergamotcross/core/routing/TargetEvidence.java
+++ b/core/src/main/java/org/bergamotcross/core/routing/TargetEvidence.java
@@ -10,9 +10,12 @@
  * <p>All times are ages, so that they mean the same on the clock of the receiver.
  *
  * @param target the target
- * @param stallAge the time since the start of the latest request that did not end within the stall
- *     threshold, unless a later one succeeded
+ * @param stallAge the time since the start of the first request that did not end within the stall
+ *     threshold and that no success followed
  * @param successAge the time since the start of the latest request that succeeded
+ * @param progressAge the time since a request last succeeded, however long it took
+ * @param slowAge the time since the start of a request that has lasted for half of the stall
+ *     threshold and that no success followed
  * @param failureAge the time since the start of the latest request that failed
  * @param failures the recent failures; each counts less as it gets older
  * @param ends the recent requests that succeeded or failed, counted in the same way
@@ -24,6 +27,8 @@
     TargetId target,
     Optional<Duration> stallAge,
     Optional<Duration> successAge,
+    Optional<Duration> progressAge,
+    Optional<Duration> slowAge,
     Optional<Duration> failureAge,
     double failures,
     double ends,
--- a/core/src/main/java/org/bergamotcross/core/routing/TargetHealth.java
+++ b/core/src/main/java/org/bergamotcross/core/routing/TargetHealth.java
@@ -48,6 +48,8 @@
   private Now cleanSince;
   private int faults;
   private boolean listedAsLeaving;
+  private Optional<Now> toldSuccess = Optional.empty();
+  private Optional<Now> toldProgress = Optional.empty();
   private Optional<Now> drainingUntil = Optional.empty();
 
   TargetHealth(InstanceId self, FailureDomain ownDomain, Target target, boolean cold, Now now) {
@@ -96,6 +98,10 @@
     return ejection().filter(ejected -> ejected.kind() != FaultKind.RETURNING).isPresent();
   }
 
+  boolean hasPathFault() {
+    return ejection().filter(e -> e.reason() == TargetStatus.Reason.PATH_FAULT).isPresent();
+  }
+
   Optional<TargetState.Ejected> ejection() {
     return switch (state) {
       case TargetState.Ejected ejected -> Optional.of(ejected);
@@ -216,11 +222,14 @@
 
   /** Takes back an ejection that was wrong or that the floor does not allow any more. */
   void reinstate(HealthDecision.Cause cause, Now now, Consumer<HealthDecision> out) {
-    if (cause != HealthDecision.Cause.FLOOR) {
+    if (cause == HealthDecision.Cause.CONTRADICTED
+        || cause == HealthDecision.Cause.SLOW_EVERYWHERE) {
       faults = Math.max(0, faults - 1);
     }
     state = new TargetState.Healthy(now);
-    forgetEvidence(now);
+    if (cause == HealthDecision.Cause.FLOOR) {
+      forgetEvidence(now);
+    }
     out.accept(new HealthDecision.Readmitted(target.id(), cause, 1.0));
   }
 
@@ -327,6 +336,22 @@
     return all;
   }
 
+  /** Tells whether a peer suspects the target and does not know yet that it works from here. */
+  boolean mustContradict() {
+    return peers.values().stream()
+        .filter(peer -> peer.stalledSince(cleanSince))
+        .map(peer -> peer.stall().orElseThrow().plus(Observation.MARGIN))
+        .anyMatch(
+            needed ->
+                Observation.isRefuted(needed, own.success(), own.progress())
+                    && !Observation.isRefuted(needed, toldSuccess, toldProgress));
+  }
+
+  void told() {
+    toldSuccess = own.success();
+    toldProgress = own.progress();
+  }
+
   Observation ownObservation(Now now) {
     return own.observation(this, now);
   }
