--- a/core/src/main/java/org/bergamotcross/core/config/LogReader.java
+++ b/core/src/main/java/org/bergamotcross/core/config/LogReader.java
@@ -39,13 +39,32 @@
     record Unreadable(String reason) implements Content {}
   }
 
+  /**
+   * An answer of the log.
+   *
+   * @param from the first offset that was asked for
+   * @param earliest the oldest offset that the log retains
+   * @param next the offset that the next append gets
+   * @param entries the records in order
+   * @param full whether there are as many records as were asked for, so that more may follow
+   */
+  public record Page(long from, long earliest, long next, List<Entry> entries, boolean full) {
+
+    /** Copies the list. */
+    public Page {
+      entries = List.copyOf(entries);
+    }
+  }
+
   /**
    * What one record did.
    *
    * @param offset its offset
    * @param result what it did
+   * @param members the configuration after it, when it changed the members; admission must see each
+   *     such step, or it takes the holders in between for unknown
    */
-  public record Step(long offset, FoldResult result) {}
+  public record Step(long offset, FoldResult result, Optional<Configuration> members) {}
 
   /**
    * What a page did.
@@ -63,6 +82,7 @@
 
   private final ConfigurationFold fold;
   private Optional<Long> scanFrom = Optional.empty();
+  private long highestNext;
 
   /**
    * Creates a reader that starts at the offset after the folded one.
@@ -103,23 +123,37 @@
   /**
    * Takes a page of the log.
    *
-   * @param earliest the oldest offset that the log retains
-   * @param next the offset that the next append gets
-   * @param entries the records in order
-   * @param full whether the page has as many records as were asked for, so that more may follow
+   * @param page the page
    * @return what was folded, and whether the head is reached
    */
-  public PageResult page(long earliest, long next, List<Entry> entries, boolean full) {
-    resumeWhenCaughtUp(earliest);
-    if (earliest > fold.offset() + 1 && scanFrom.isEmpty()) {
-      scanFrom = Optional.of(earliest);
+  public PageResult page(Page page) {
+    highestNext = Math.max(highestNext, page.next());
+    resumeWhenCaughtUp(page.earliest());
+    if (page.earliest() > fold.offset() + 1 && scanFrom.isEmpty()) {
+      scanFrom = Optional.of(page.earliest());
     }
     if (scanFrom.isPresent()) {
-      return new PageResult(scan(earliest, entries), false);
+      return new PageResult(scan(page.earliest(), page.entries()), false);
     }
-    List<Step> steps = fold(entries);
-    // A page from the past ends before the folded offset, and confirms nothing.
-    return new PageResult(steps, !full && next == fold.offset() + 1);
+    List<Step> steps = fold(page.entries());
+    return new PageResult(steps, showsHead(page));
+  }
+
+  /**
+   * Takes an offset that the log has given to an append.
+   *
+   * @param offset the offset
+   */
+  public void appended(long offset) {
+    highestNext = Math.max(highestNext, offset + 1);
+  }
+
+  // A page from the past ends before what is known to exist, or repeats what was not asked for.
+  private boolean showsHead(Page page) {
+    return !page.full()
+        && page.next() == highestNext
+        && page.next() == fold.offset() + 1
+        && page.entries().stream().allMatch(entry -> entry.offset() >= page.from());
   }
 
   /**
@@ -156,7 +190,7 @@
             case Content.Known known -> fold.apply(entry.offset(), known.record());
             case Content.Unreadable unreadable -> fold.skip(entry.offset(), unreadable.reason());
           };
-      steps.add(new Step(entry.offset(), result));
+      steps.add(new Step(entry.offset(), result, changedMembers(result)));
       if (result instanceof FoldResult.Gap) {
         break;
       }
@@ -164,12 +198,21 @@
     return steps;
   }
 
+  private Optional<Configuration> changedMembers(FoldResult result) {
+    return result instanceof FoldResult.Accepted accepted
+            && (accepted.record() instanceof ControlRecord.Join
+                || accepted.record() instanceof ControlRecord.Leave
+                || accepted.record() instanceof ControlRecord.Expel)
+        ? Optional.of(fold.configuration())
+        : Optional.empty();
+  }
+
   private List<Step> scan(long earliest, List<Entry> entries) {
     for (Entry entry : entries) {
       Optional<FoldResult> result = usable(entry, earliest).map(fold::restore);
       if (result.isPresent() && result.get() instanceof FoldResult.Accepted) {
         scanFrom = Optional.empty();
-        return List.of(new Step(entry.offset(), result.get()));
+        return List.of(new Step(entry.offset(), result.get(), Optional.empty()));
       }
       scanFrom = Optional.of(entry.offset() + 1);
     }
