--- a/entry/src/test/java/org/bergamotcross/entry/path/NotRunTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/path/NotRunTest.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicReference;
 import org.bergamotcross.core.admission.Refusal;
 import org.bergamotcross.core.admission.StoredAnswer;
 import org.bergamotcross.core.config.TargetId;
@@ -233,6 +234,23 @@
       }
     }
 
+    @Test
+    void requestThatMayHaveRunIsNeverCalledNotRunLater() throws Exception {
+      AtomicReference<EntryProcess> running = new AtomicReference<>();
+      RawTarget.Behaviour withdrawsAndBreaks =
+          (connection, request) -> {
+            running.get().configure(List.of(), 4, Set.of(EntryProcess.KEY));
+            connection.close();
+          };
+      try (RawTarget target = new RawTarget(withdrawsAndBreaks);
+          EntryProcess entry = EntryProcess.start(List.of(target.port()));
+          Caller caller = new Caller(entry.port())) {
+        running.set(entry);
+        assertThat(Caller.refusal(caller.get("/team/open/x", KEY)))
+            .isEqualTo("target-failed/unknown");
+      }
+    }
+
     private RawTarget shedding(String retryAfter) throws Exception {
       return new RawTarget(
           (connection, request) ->
