--- a/entry/src/main/java/org/bergamotcross/entry/http/FrontEndPlugin.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/FrontEndPlugin.java
@@ -9,6 +9,7 @@
 import org.bergamotcross.kernel.PluginContext;
 import org.bergamotcross.kernel.PluginStartException;
 import org.bergamotcross.kernel.Setting;
+import org.bergamotcross.kernel.SettingRule;
 
 /** Listens to callers and hands their requests to admission. */
 public final class FrontEndPlugin implements Plugin {
@@ -19,7 +20,17 @@
 
   @Override
   public List<Setting<?>> settings() {
-    return List.of(EntrySettings.CALLERS, EntrySettings.MAX_BODY_BYTES);
+    return List.of(
+        EntrySettings.CALLERS,
+        EntrySettings.PEERS,
+        EntrySettings.PLATFORM,
+        EntrySettings.MAX_BODY_BYTES);
+  }
+
+  @Override
+  public List<SettingRule> rules() {
+    return Listener.apartFrom(
+        EntrySettings.CALLERS, List.of(EntrySettings.PEERS, EntrySettings.PLATFORM));
   }
 
   @Override
--- a/entry/src/main/java/org/bergamotcross/entry/http/Listener.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/Listener.java
@@ -1,12 +1,16 @@
 package org.bergamotcross.entry.http;
 
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.apache.pekko.http.javadsl.ServerBinding;
+import org.bergamotcross.entry.EntrySettings;
 import org.bergamotcross.kernel.PluginStartException;
+import org.bergamotcross.kernel.Setting;
+import org.bergamotcross.kernel.SettingRule;
 
 /** Waits until a listening socket is open. */
 final class Listener {
@@ -36,6 +40,20 @@
     }
   }
 
+  /**
+   * Demands that an address differs from others.
+   *
+   * @param address the address
+   * @param others the settings that must have other values
+   * @return one rule for each of the others
+   */
+  static List<SettingRule> apartFrom(
+      Setting<InetSocketAddress> address, List<Setting<InetSocketAddress>> others) {
+    return others.stream()
+        .flatMap(other -> EntrySettings.differentAddresses(List.of(other, address)).stream())
+        .toList();
+  }
+
   private static PluginStartException failure(
       InetSocketAddress address, String setting, Exception cause) {
     return new PluginStartException(
--- a/entry/src/main/java/org/bergamotcross/entry/http/OperationsPages.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/OperationsPages.java
@@ -17,6 +17,7 @@
 import org.bergamotcross.entry.Broadcasts.Freshness;
 import org.bergamotcross.entry.EntrySettings;
 import org.bergamotcross.entry.OpenRequests;
+import org.bergamotcross.entry.StatusSource;
 import org.bergamotcross.kernel.PluginContext;
 
 /** The pages of the operations port, as plain text lines of name=value. */
@@ -66,11 +67,7 @@
     Map<String, Object> lines = new TreeMap<>();
     lines.put("instance", context.settings().value(EntrySettings.INSTANCE_ID));
     lines.put("failure-domain", context.settings().value(EntrySettings.FAILURE_DOMAIN));
-    lines.put("offset", configuration.get().offset());
-    lines.put("epoch", configuration.get().members().epoch());
-    lines.put("members", configuration.get().members().list().size());
-    lines.put("fresh", isFresh());
-    lines.put("fresh-source", freshness.get().map(f -> f.source().name()).orElse("NONE"));
+    context.service(StatusSource.class).ifPresent(source -> addStatus(lines, source.status()));
     context
         .service(OpenRequests.class)
         .ifPresent(
@@ -81,6 +78,19 @@
     return lines;
   }
 
+  private void addStatus(Map<String, Object> lines, StatusSource.Status status) {
+    lines.put("incarnation", status.incarnation());
+    lines.put("offset", status.offset());
+    lines.put("scanning", status.scanning());
+    lines.put("epoch", status.members().epoch());
+    lines.put("members", status.members().list().size());
+    lines.put("fresh-source", status.freshness().source());
+    lines.put(
+        "fresh-for-ms", status.freshness().validUntil().since(context.time().now()).toMillis());
+    status.versions().forEach((team, offset) -> lines.put("version." + team, offset));
+    status.peerOffsets().forEach((peer, offset) -> lines.put("peer-offset." + peer, offset));
+  }
+
   private Map<String, Object> metrics() {
     Map<String, Object> lines = new TreeMap<>();
     context.metrics().getGauges().forEach((name, gauge) -> lines.put(name, gauge.getValue()));
--- a/entry/src/main/java/org/bergamotcross/entry/http/OperationsPlugin.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/OperationsPlugin.java
@@ -15,6 +15,7 @@
 import org.bergamotcross.kernel.PluginContext;
 import org.bergamotcross.kernel.PluginStartException;
 import org.bergamotcross.kernel.Setting;
+import org.bergamotcross.kernel.SettingRule;
 
 /** Answers operators: health, metrics and status. */
 public final class OperationsPlugin implements Plugin {
@@ -32,7 +33,19 @@
   @Override
   public List<Setting<?>> settings() {
     return List.of(
-        EntrySettings.INSTANCE_ID, EntrySettings.FAILURE_DOMAIN, EntrySettings.OPERATIONS);
+        EntrySettings.INSTANCE_ID,
+        EntrySettings.FAILURE_DOMAIN,
+        EntrySettings.OPERATIONS,
+        EntrySettings.CALLERS,
+        EntrySettings.PEERS,
+        EntrySettings.PLATFORM);
+  }
+
+  @Override
+  public List<SettingRule> rules() {
+    return Listener.apartFrom(
+        EntrySettings.OPERATIONS,
+        List.of(EntrySettings.CALLERS, EntrySettings.PEERS, EntrySettings.PLATFORM));
   }
 
   @Override
