Add the proofs for configuration and membership

Cause: each proof has to show that it fails without its guard. Found: no test failed when a join was appended again before it was read back; beginsWithOneRecordWhenReadsAreSlow does, with reads that are 1.5 s late.

--- a/entry/src/test/java/org/bergamotcross/entry/duties/ConfigDutyFaultTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/duties/ConfigDutyFaultTest.java
@@ -353,6 +353,17 @@
       assertThat(fleet.log.next()).isEqualTo(records + 1);
     }
 
+    // The instance sees its own join only 1.5 s later and must not append it again meanwhile.
+    @Test
+    void beginsWithOneRecordWhenReadsAreSlow() {
+      fleet.log.readDelayMillis = 1_500;
+      long records = fleet.log.next();
+      fleet.start("c");
+      fleet.run(Duration.ofSeconds(10));
+      assertThat(members(instance("a"))).hasSize(5);
+      assertThat(fleet.log.next()).isEqualTo(records + 1);
+    }
+
     @Test
     void endsWithAPlannedStop() {
       instance("c").inbox.add(new ConfigInput.Stop());
--- a/entry/src/test/java/org/bergamotcross/entry/duties/SimulatedLog.java
+++ b/entry/src/test/java/org/bergamotcross/entry/duties/SimulatedLog.java
@@ -27,6 +27,7 @@
   final Set<String> unreachableFor = new HashSet<>();
   final Set<String> oldPagesFor = new HashSet<>();
   boolean outage;
+  long readDelayMillis;
   boolean losesAppendAnswers;
   int retention = Integer.MAX_VALUE;
   List<PlatformClient.ListedInstance> instances = List.of();
@@ -55,19 +56,20 @@
   /** Answers the reads that are due. */
   void advance(long nowMillis) {
     millis = nowMillis;
-    for (Late answer : List.copyOf(late)) {
-      if (answer.at() <= millis) {
-        late.remove(answer);
-        answer.answer().run();
-      }
-    }
     for (Waiting read : List.copyOf(waiting)) {
       if (isDown(read.instance())) {
         waiting.remove(read);
         fail(read);
       } else if (read.from() < next() || read.until() <= millis) {
         waiting.remove(read);
-        read.answer().complete(page(read));
+        PlatformClient.ReadResult page = page(read);
+        late.add(new Late(millis + readDelayMillis, () -> read.answer().complete(page)));
+      }
+    }
+    for (Late answer : List.copyOf(late)) {
+      if (answer.at() <= millis) {
+        late.remove(answer);
+        answer.answer().run();
       }
     }
   }
