--- a/bench/src/main/java/org/bergamotcross/bench/PathLatency.java
+++ b/bench/src/main/java/org/bergamotcross/bench/PathLatency.java
@@ -88,7 +88,12 @@
   private void run() throws Exception {
     List<TargetStandin> targets = new ArrayList<>();
     for (int i = 0; i < TARGETS; i++) {
-      targets.add(TargetStandin.builder("target-" + i).workTime(Duration.ofMillis(5)).start());
+      // The instance does not see the direct requests; slots for both keep targets from shedding.
+      targets.add(
+          TargetStandin.builder("target-" + i)
+              .slots(2 * CALLERS)
+              .workTime(Duration.ofMillis(5))
+              .start());
     }
     try (PlatformStandin platform = PlatformStandin.builder().start()) {
       publish(platform.address(), targets);
