Let idle duties wake rarely; hear a restarted instance before its join

Cause: an idle instance among 18 used 48.7 ms/s of a core, against 11 ms/s allowed for control at the target size; the routing duty woke 200 times and the admission duty 100 times a second with nothing in hand. Separately, a configuration that names the predecessor of a restarted instance made its peers ignore its beats until its join was recorded, which is never during a log outage. Ruled out: one long tick for all, because deadlines need 5 ms while requests are in hand. Change: a duty that asks for more than 50 ms is called again after its next message, so routing and admission tick slowly while they hold nothing; the introduction of a live incarnation outlives a record of an earlier one. Two new tests in PeerTableTest.

--- a/core/src/main/java/org/bergamotcross/core/admission/BorrowedTokens.java
+++ b/core/src/main/java/org/bergamotcross/core/admission/BorrowedTokens.java
@@ -343,6 +343,10 @@
         .anyMatch(holder -> view(holder).last.map(TokenGrant::serving).orElse(false));
   }
 
+  boolean isIdle() {
+    return lots.isEmpty() && pending.isEmpty();
+  }
+
   double possible(double seconds, Now now) {
     double sum = inHand(now) + partRate * order.size() * seconds;
     for (InstanceId holder : order) {
--- a/core/src/main/java/org/bergamotcross/core/admission/RateAdmission.java
+++ b/core/src/main/java/org/bergamotcross/core/admission/RateAdmission.java
@@ -201,6 +201,15 @@
     return Duration.ofMillis((long) Math.ceil(Math.max(0, missing) / rate * 1e3));
   }
 
+  /**
+   * Tells whether nothing is due before the next message.
+   *
+   * @return whether no request waits here and no borrowed token or ask is open
+   */
+  public boolean isIdle() {
+    return waitList.organisations().isEmpty() && borrower.isIdle();
+  }
+
   /**
    * Gives back all unused tokens, for a planned stop.
    *
--- a/core/src/main/java/org/bergamotcross/core/admission/RateBorrower.java
+++ b/core/src/main/java/org/bergamotcross/core/admission/RateBorrower.java
@@ -194,4 +194,13 @@
   public boolean isServed(OrganisationId id) {
     return state(id).map(BorrowedTokens::isServed).orElse(false);
   }
+
+  /**
+   * Tells whether no token and no ask is open.
+   *
+   * @return whether time alone changes nothing here
+   */
+  public boolean isIdle() {
+    return tokens.values().stream().allMatch(BorrowedTokens::isIdle);
+  }
 }
--- a/entry/src/main/java/org/bergamotcross/entry/duties/AdmissionDuty.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/AdmissionDuty.java
@@ -42,6 +42,9 @@
   private static final int MAX_CLAIMS = 100_000;
   private static final long MAX_ANSWER_BYTES = 64L << 20;
 
+  // Each wake-up of an idle process costs processor time that counts as control.
+  private static final Duration IDLE_TICK = Duration.ofMillis(100);
+
   // The longest request, after whose end a claim that routing did not report is forgotten.
   private static final Duration CLAIM_REPORT_LIMIT = Duration.ofSeconds(60);
 
@@ -114,7 +117,7 @@
         .forEach(request -> claim(request, request.claim().orElseThrow(), now));
     sent.values().removeIf(claim -> !now.isBefore(claim.deadline().plus(CLAIM_REPORT_LIMIT)));
     step(now);
-    return RateAdmission.TICK;
+    return pending.isEmpty() && rates.isIdle() ? IDLE_TICK : RateAdmission.TICK;
   }
 
   private void onEvent(AdmissionEvent event, Now now) {
--- a/entry/src/main/java/org/bergamotcross/entry/duties/ConfigDuty.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/ConfigDuty.java
@@ -38,7 +38,7 @@
 
 /** Folds the log, tells the other duties what is in force, and keeps the membership. */
 final class ConfigDuty implements DutyHandler<ConfigInput> {
-  private static final Duration TICK = Duration.ofMillis(50);
+  private static final Duration TICK = Duration.ofMillis(100);
   // Work that takes time in the number of members; freshness counts in seconds.
   private static final Duration REVIEW_INTERVAL = Duration.ofMillis(200);
   private static final Duration LIST_INTERVAL = Duration.ofSeconds(1);
--- a/entry/src/main/java/org/bergamotcross/entry/duties/PendingTable.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/PendingTable.java
@@ -18,6 +18,10 @@
     byHandle.put(pending.request().request().handle(), pending);
   }
 
+  boolean isEmpty() {
+    return byId.isEmpty();
+  }
+
   Optional<PendingRequest> find(String uniqueId) {
     return Optional.ofNullable(byId.get(uniqueId));
   }
--- a/entry/src/main/java/org/bergamotcross/entry/duties/RequestTable.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/RequestTable.java
@@ -39,6 +39,10 @@
     return request;
   }
 
+  boolean isEmpty() {
+    return byHandle.isEmpty();
+  }
+
   Optional<InHand> find(RequestHandle handle) {
     return Optional.ofNullable(byHandle.get(handle));
   }
--- a/entry/src/main/java/org/bergamotcross/entry/duties/RoutingDuty.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/RoutingDuty.java
@@ -30,6 +30,8 @@
 final class RoutingDuty implements DutyHandler<RoutingInput> {
   // The precision of deadlines and of the end of a back-off.
   private static final Duration TICK = Duration.ofMillis(5);
+  // Each wake-up of an idle process costs processor time that counts as control.
+  private static final Duration IDLE_TICK = Duration.ofMillis(250);
   // An attempt has two events under way at most, and half of the ring is reserved for events.
   private static final int RING_MESSAGES_PER_ATTEMPT = 4;
 
@@ -80,7 +82,7 @@
     refuseWithdrawnKeys();
     table.takeDue(now).forEach(request -> dispatch(request, now));
     table.waitingPools().forEach(pool -> serve(pool, now));
-    return TICK;
+    return table.isEmpty() ? IDLE_TICK : TICK;
   }
 
   private void onInternal(RoutingInput.Internal internal, Now now) {
--- a/entry/src/main/java/org/bergamotcross/entry/peer/PeerTable.java
+++ b/entry/src/main/java/org/bergamotcross/entry/peer/PeerTable.java
@@ -31,6 +31,7 @@
   private static final class Peer {
     Member member;
     Now heardAt;
+    boolean introduced;
     long heardSequence;
     long sentSequence;
     final Deque<SentBeat> sent = new ArrayDeque<>();
@@ -61,12 +62,22 @@
       if (!member.id().equals(self)) {
         ids.add(member.id());
         Peer peer = peers.computeIfAbsent(member.id(), id -> new Peer(member, now));
-        peer.member = member;
+        if (!isReplacedBy(peer, member, now)) {
+          peer.member = member;
+        }
       }
     }
     memberIds = ids;
   }
 
+  // A restarted instance introduces itself before its join is in the log, and can't join while the
+  // log is unavailable; the record of its predecessor must not silence it.
+  private static boolean isReplacedBy(Peer peer, Member recorded, Now now) {
+    return peer.introduced
+        && peer.member.incarnation() != recorded.incarnation()
+        && now.since(peer.heardAt).compareTo(STRANGER_RETENTION) <= 0;
+  }
+
   /**
    * Takes the introduction of an instance.
    *
@@ -82,6 +93,7 @@
       peer.heardSequence = 0;
     }
     peer.member = member;
+    peer.introduced = true;
     peer.heardAt = now;
   }
 
--- a/entry/src/test/java/org/bergamotcross/entry/peer/PeerTableTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/peer/PeerTableTest.java
@@ -59,6 +59,26 @@
     }
   }
 
+  @Nested
+  class RestartedInstance {
+    // During a log outage its join can't be recorded, so each configuration names its predecessor.
+    @Test
+    void isHeardAfterAConfigurationThatNamesItsPredecessor() {
+      table.introduce(member(THEIRS + 1), Now.ofMillis(0));
+      table.update(new Members(3, List.of(member(THEIRS))), Now.ofMillis(10));
+      sendBeats(3);
+      assertThat(table.heard(PEER, THEIRS + 1, new Beat(1, OWN, 2, 5, 5), OWN, Now.ofMillis(999)))
+          .isPresent();
+    }
+
+    @Test
+    void isReplacedByTheRecordWhenItIsSilent() {
+      table.introduce(member(THEIRS), Now.ofMillis(0));
+      table.update(new Members(3, List.of(member(THEIRS + 1))), Now.ofMillis(30_001));
+      assertThat(table.find(PEER)).hasValue(member(THEIRS + 1));
+    }
+  }
+
   @Nested
   class Silence {
     @Test
--- a/kernel/src/main/java/org/bergamotcross/kernel/Duty.java
+++ b/kernel/src/main/java/org/bergamotcross/kernel/Duty.java
@@ -15,6 +15,9 @@
 final class Duty<T> implements AutoCloseable {
   private static final Duration STOP_LIMIT = Duration.ofSeconds(5);
 
+  // A handler that asked for a longer wait than this had nothing to do; a message may change that.
+  private static final Duration IDLE = Duration.ofMillis(50);
+
   private final String name;
   private final Ring<T> ring;
   private final DutyHandler<T> handler;
@@ -47,14 +50,17 @@
 
   private void run() {
     Now nextTick = time.now();
+    boolean idle = false;
     while (!stopping) {
       try {
         Duration wait = nextTick.since(time.now());
         Optional<T> message = ring.poll(wait.isNegative() ? Duration.ZERO : wait);
         Now now = time.now();
         message.ifPresent(m -> handle(m, now));
-        if (!now.isBefore(nextTick)) {
-          nextTick = now.plus(tick(now));
+        if (!now.isBefore(nextTick) || (idle && message.isPresent())) {
+          Duration delay = tick(now);
+          idle = delay.compareTo(IDLE) > 0;
+          nextTick = now.plus(delay);
         }
       } catch (InterruptedException e) {
         if (stopping) {
--- a/kernel/src/main/java/org/bergamotcross/kernel/DutyHandler.java
+++ b/kernel/src/main/java/org/bergamotcross/kernel/DutyHandler.java
@@ -20,6 +20,9 @@
   /**
    * Does the work that is due by time.
    *
+   * <p>A handler with nothing to do returns a delay of more than 50 ms; it is then called again
+   * right after the next message, so that an idle process wakes rarely and a busy one in time.
+   *
    * @param now the present time
    * @return the time until the next call
    */
