Follow the freshness tracker in the fault matrix

Cause: the tracker counts only recorded incarnations since a later change of the configuration part; the matrix was written before it. Change: the cell gives the incarnation of each echo. Measured: FaultMatrixTest, 28 tests pass. Conclusion: the matrix covers the present decisions.

--- a/core/src/test/java/org/bergamotcross/core/routing/FaultMatrixTest.java
+++ b/core/src/test/java/org/bergamotcross/core/routing/FaultMatrixTest.java
@@ -468,10 +468,10 @@
   }
 
   private static boolean isFresh(int echoes, Now at) {
-    FreshnessTracker tracker = new FreshnessTracker(SELF);
+    FreshnessTracker tracker = new FreshnessTracker(members().find(SELF).orElseThrow());
     Stream.of("b", "c", "d")
         .limit(echoes)
-        .forEach(peer -> tracker.echoed(new InstanceId(peer), START, 1));
+        .forEach(peer -> tracker.echoed(new InstanceId(peer), 1, START, 1));
     return tracker.evaluate(members(), 1, at).filter(c -> at.isBefore(c.validUntil())).isPresent();
   }
 
