--- a/core/src/main/java/org/bergamotcross/core/admission/BorrowedTokens.java
+++ b/core/src/main/java/org/bergamotcross/core/admission/BorrowedTokens.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -18,8 +19,8 @@
   /** Tokens end this long after the ask was sent; a holder counts them for 250 ms more. */
   static final Duration LIFE = Duration.ofSeconds(1);
 
-  /** A holder that has not answered by then is passed over: some 30 times the longest path. */
-  static final Duration ANSWER_LIMIT = Duration.ofMillis(50);
+  /** A holder that has not answered by then is passed over; it may keep an ask for 100 ms. */
+  static final Duration ANSWER_LIMIT = Duration.ofMillis(150);
 
   /** How long a holder that did not answer is passed over. */
   static final Duration PASS_OVER = Duration.ofSeconds(1);
@@ -27,8 +28,10 @@
   /** Unused tokens go back after this time, well within the 4 s that a request may wait. */
   static final Duration IDLE = Duration.ofMillis(250);
 
-  private static final Duration MIN_RETRY = Duration.ofMillis(10);
-  private static final Duration MAX_RETRY = Duration.ofMillis(100);
+  // Paces prefetching, and asks to a holder that does not serve yet.
+  private static final Duration RETRY = Duration.ofMillis(100);
+  // Reached about 5 s after a single request.
+  private static final double NO_DEMAND = 0.01;
   // Hides rounding of sums of fractions; far below one token.
   private static final double EPSILON = 1e-6;
 
@@ -40,6 +43,7 @@
         double needed,
         double wanted,
         boolean exact,
+        long patienceMillis,
         List<TokenAsk.Settlement> settlements);
   }
 
@@ -147,7 +151,7 @@
     return lots.values().stream().filter(lot -> isUsable(lot, now)).mapToDouble(Lot::left).sum();
   }
 
-  List<PeerMessage> asks(int waiting, Now now, AskFactory factory) {
+  List<PeerMessage> asks(int waiting, Duration patience, Now now, AskFactory factory) {
     passOverSilent(now);
     double asked =
         pending.values().stream().filter(ask -> !ask.silent).mapToDouble(ask -> ask.needed).sum();
@@ -155,15 +159,17 @@
     double missing = waiting - inHand - asked;
     List<PeerMessage> asks = new ArrayList<>();
     if (missing > EPSILON) {
-      askForWhole(Math.ceil(missing - EPSILON), now, factory, asks);
-      if (asks.isEmpty() && asked == 0) {
+      if (asked == 0) {
         askForFractions(missing, now, factory, asks);
       }
+      if (asks.isEmpty()) {
+        askForWhole(Math.ceil(missing - EPSILON), patience, now, factory, asks);
+      }
     } else if (waiting == 0 && asked == 0 && inHand < prefetch(now) / 2) {
       usable(now).stream()
-          .filter(holder -> isDue(holder, likely(holder, now), now))
+          .filter(holder -> isPrefetchDue(holder, now))
           .findFirst()
-          .ifPresent(holder -> asks.add(ask(holder, 0, prefetch(now), now, factory)));
+          .ifPresent(holder -> asks.add(ask(holder, 0, prefetch(now), 0, now, factory)));
     }
     return asks;
   }
@@ -172,28 +178,49 @@
     return Math.floor(demand.perSecond(now) * IDLE.toMillis() / 1000.0);
   }
 
-  private void askForWhole(double missing, Now now, AskFactory factory, List<PeerMessage> asks) {
+  // A holder that should have tokens answers at once; one that should not keeps the ask until it
+  // has one. The fullest one is asked first when none should have a whole token.
+  private void askForWhole(
+      double missing, Duration patience, Now now, AskFactory factory, List<PeerMessage> asks) {
     double left = missing;
-    for (InstanceId holder : usable(now)) {
-      double likely = Math.floor(likely(holder, now) + EPSILON);
-      if (left > 0 && isDue(holder, likely, now)) {
+    List<InstanceId> holders = new ArrayList<>(usable(now));
+    if (holders.stream().noneMatch(holder -> likelyWhole(holder, now) >= 1)) {
+      holders.sort(Comparator.comparingDouble(holder -> -likely(holder, now)));
+    }
+    for (InstanceId holder : holders) {
+      double likely = likelyWhole(holder, now);
+      if (left > 0 && isDue(holder, now)) {
         double needed = Math.min(left, Math.max(1, likely));
         double wanted = left <= needed ? needed + prefetch(now) : needed;
-        asks.add(ask(holder, needed, wanted, now, factory));
+        long millis = likely >= 1 ? 0 : Math.max(1, patience.toMillis());
+        asks.add(ask(holder, needed, wanted, millis, now, factory));
         left -= needed;
       }
     }
   }
 
-  // A holder that had no whole token is asked again when it should have one, and before that in
-  // case another instance has given tokens back.
-  private boolean isDue(InstanceId holder, double likely, Now now) {
-    boolean busy =
-        pending.values().stream().anyMatch(ask -> !ask.silent && ask.holder.equals(holder));
-    Duration wait = likely >= 1 ? MIN_RETRY : MAX_RETRY;
+  private double likelyWhole(InstanceId holder, Now now) {
+    return Math.floor(likely(holder, now) + EPSILON);
+  }
+
+  private boolean isBusy(InstanceId holder) {
+    return pending.values().stream().anyMatch(ask -> !ask.silent && ask.holder.equals(holder));
+  }
+
+  private boolean isDue(InstanceId holder, Now now) {
+    HolderView view = view(holder);
+    boolean serving = view.last.map(TokenGrant::serving).orElse(true);
+    return !isBusy(holder) && (serving || isPaced(view, now));
+  }
+
+  private boolean isPrefetchDue(InstanceId holder, Now now) {
     HolderView view = view(holder);
-    boolean full = view.last.map(grant -> grant.amount() > 0).orElse(true) && likely >= 1;
-    return !busy && (full || view.answeredAt.map(at -> !now.isBefore(at.plus(wait))).orElse(true));
+    boolean plenty = view.last.map(grant -> grant.amount() > 0).orElse(true);
+    return !isBusy(holder) && (plenty || isPaced(view, now));
+  }
+
+  private static boolean isPaced(HolderView view, Now now) {
+    return view.answeredAt.map(at -> !now.isBefore(at.plus(RETRY))).orElse(true);
   }
 
   // Whole tokens only would leave up to one token for each holder unused.
@@ -202,25 +229,29 @@
     List<InstanceId> holders = usable(now);
     double left = Math.min(1, missing);
     double sum = holders.stream().mapToDouble(holder -> likely(holder, now)).sum();
-    if (sum < left || holders.stream().anyMatch(h -> view(h).last.isEmpty())) {
+    if (sum < left
+        || holders.stream().anyMatch(h -> likelyWhole(h, now) >= 1 || view(h).last.isEmpty())) {
       return;
     }
     for (InstanceId holder : holders) {
       double part = Math.min(left, likely(holder, now));
       if (part > EPSILON) {
-        asks.add(exactly(holder, part, now, factory));
+        List<TokenAsk.Settlement> done = settlements(holder);
+        asks.add(send(holder, factory.create(id, part, part, true, 0, done), now));
         left -= part;
       }
     }
   }
 
   private PeerMessage ask(
-      InstanceId holder, double needed, double wanted, Now now, AskFactory factory) {
-    return send(holder, factory.create(id, needed, wanted, false, settlements(holder)), now);
-  }
-
-  private PeerMessage exactly(InstanceId holder, double part, Now now, AskFactory factory) {
-    return send(holder, factory.create(id, part, part, true, settlements(holder)), now);
+      InstanceId holder,
+      double needed,
+      double wanted,
+      long patienceMillis,
+      Now now,
+      AskFactory factory) {
+    List<TokenAsk.Settlement> done = settlements(holder);
+    return send(holder, factory.create(id, needed, wanted, false, patienceMillis, done), now);
   }
 
   private PeerMessage send(InstanceId holder, TokenAsk ask, Now now) {
@@ -302,7 +333,7 @@
     for (InstanceId holder : lots.values().stream().map(lot -> lot.holder).distinct().toList()) {
       List<TokenAsk.Settlement> done = settlements(holder);
       if (!done.isEmpty()) {
-        reports.add(new PeerMessage(holder, factory.create(id, 0, 0, false, done)));
+        reports.add(new PeerMessage(holder, factory.create(id, 0, 0, false, 0, done)));
       }
     }
     lots.values().removeIf(lot -> !isUsable(lot, now));
@@ -337,6 +368,11 @@
     return done;
   }
 
+  /** Tells whether nothing is borrowed, asked for, or expected to be needed soon. */
+  boolean isIdle(Now now) {
+    return lots.isEmpty() && pending.isEmpty() && demand.perSecond(now) < NO_DEMAND;
+  }
+
   /** Tells whether a holder has said that it serves the organisation, when it answered last. */
   boolean isServed() {
     return order.stream()
--- a/core/src/main/java/org/bergamotcross/core/admission/RateAdmission.java
+++ b/core/src/main/java/org/bergamotcross/core/admission/RateAdmission.java
@@ -132,8 +132,7 @@
    */
   public void onMessage(InstanceId from, Record message, Now now) {
     switch (message) {
-      case TokenAsk ask ->
-          holder.onAsk(from, ask, now).ifPresent(g -> outbox.add(new PeerMessage(from, g)));
+      case TokenAsk ask -> outbox.addAll(holder.onAsk(from, ask, now));
       case TokenGrant grant -> borrower.onGrant(from, grant, now);
       case TokenHandover handover -> holder.onHandover(handover, now);
       default -> {}
@@ -150,7 +149,7 @@
     List<RateStep.Ended> ended = new ArrayList<>();
     if (lastTick.map(at -> !now.isBefore(at.plus(TICK))).orElse(true)) {
       lastTick = Optional.of(now);
-      holder.tick(now);
+      outbox.addAll(holder.tick(now));
       outbox.addAll(borrower.tick(now));
       refuseExpired(now, ended);
     }
@@ -158,7 +157,10 @@
     List<PeerMessage> remote = new ArrayList<>();
     // The second round asks the other holders when the own instance is a holder without tokens.
     for (int round = 0; round < 2; round++) {
-      active.forEach(id -> outbox.addAll(borrower.asks(id, waitList.waiting(id), now)));
+      active.forEach(
+          id ->
+              outbox.addAll(
+                  borrower.asks(id, waitList.waiting(id), waitList.patience(id, now), now)));
       remote.addAll(deliverLocal(now));
     }
     active.clear();
--- a/core/src/main/java/org/bergamotcross/core/admission/RateBorrower.java
+++ b/core/src/main/java/org/bergamotcross/core/admission/RateBorrower.java
@@ -1,5 +1,6 @@
 package org.bergamotcross.core.admission;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
@@ -23,7 +24,8 @@
  * <pre>{@code
  * if (!borrower.take(organisation, now)) {
  *   waitList.offer(...);
- *   borrower.asks(organisation, waitList.waiting(organisation), now).forEach(this::send);
+ *   borrower.asks(organisation, waitList.waiting(organisation), waitList.patience(organisation, now), now)
+ *       .forEach(this::send);
  * }
  * }</pre>
  */
@@ -117,11 +119,14 @@
    *
    * @param id the organisation
    * @param waiting the number of requests that wait for a token here
+   * @param patience how long the most urgent of them can still wait
    * @param now the present time
    * @return asks to send, each to another holder
    */
-  public List<PeerMessage> asks(OrganisationId id, int waiting, Now now) {
-    return state(id).map(state -> state.asks(waiting, now, this::message)).orElse(List.of());
+  public List<PeerMessage> asks(OrganisationId id, int waiting, Duration patience, Now now) {
+    return state(id)
+        .map(state -> state.asks(waiting, patience, now, this::message))
+        .orElse(List.of());
   }
 
   private TokenAsk message(
@@ -129,9 +134,11 @@
       double needed,
       double wanted,
       boolean exact,
+      long patienceMillis,
       List<TokenAsk.Settlement> done) {
     asked++;
-    return new TokenAsk(incarnation, asked, id.value(), needed, wanted, exact, done);
+    return new TokenAsk(
+        incarnation, asked, id.value(), needed, wanted, exact, patienceMillis, done);
   }
 
   /**
@@ -157,6 +164,7 @@
   public List<PeerMessage> tick(Now now) {
     List<PeerMessage> reports = new ArrayList<>();
     tokens.values().forEach(state -> reports.addAll(state.reports(now, this::message)));
+    tokens.values().removeIf(state -> state.isIdle(now));
     return reports;
   }
 
--- a/core/src/main/java/org/bergamotcross/core/admission/RateHolder.java
+++ b/core/src/main/java/org/bergamotcross/core/admission/RateHolder.java
@@ -23,7 +23,7 @@
  *
  * <pre>{@code
  * holder.configure(configuration, now).forEach(this::send);
- * holder.onAsk(from, ask, now).ifPresent(grant -> send(from, grant));
+ * holder.onAsk(from, ask, now).forEach(this::send);
  * }</pre>
  */
 public final class RateHolder {
@@ -43,6 +43,7 @@
     int parts;
     // The configuration since which this instance has had at least one of `parts` parts.
     long since;
+    final ParkedAsks parked = new ParkedAsks();
 
     boolean isPending() {
       return bucket.isEmpty() || parts < activeParts;
@@ -250,21 +251,55 @@
   }
 
   /**
-   * Starts the parts whose waiting time is over.
+   * Starts the parts whose waiting time is over, and answers asks that have waited.
    *
    * @param now the present time
+   * @return grants to send
    */
-  public void tick(Now now) {
+  public List<PeerMessage> tick(Now now) {
     settled.tick(now);
+    List<PeerMessage> grants = new ArrayList<>();
     if (!isFresh(now)) {
-      return;
+      return grants;
     }
     held.forEach(
         (id, state) -> {
           if (state.isPending() && settled.has(state.since)) {
             shares.configuration().organisation(id).ifPresent(o -> start(o, state, now));
           }
+          state.bucket.ifPresent(bucket -> serve(bucket, state.parked, now, grants));
         });
+    return grants;
+  }
+
+  private static void serve(
+      TokenBucket bucket, ParkedAsks parked, Now now, List<PeerMessage> grants) {
+    if (parked.isEmpty()) {
+      return;
+    }
+    bucket.refill(now);
+    while (bucket.hasWholeToken() && !parked.isEmpty()) {
+      parked.poll().ifPresent(p -> grants.add(grant(p.from(), p.ask(), bucket, now)));
+    }
+    parked.expired(now).forEach(p -> grants.add(grant(p.from(), p.ask(), bucket, now)));
+  }
+
+  private static PeerMessage grant(InstanceId from, TokenAsk ask, TokenBucket bucket, Now now) {
+    double amount = bucket.grant(key(from, ask.incarnation(), ask.ask()), ask, now);
+    return answer(from, ask, amount, bucket.level(), bucket.outstanding(), true);
+  }
+
+  private static PeerMessage answer(
+      InstanceId from,
+      TokenAsk ask,
+      double amount,
+      double level,
+      double outstanding,
+      boolean serving) {
+    return new PeerMessage(
+        from,
+        new TokenGrant(
+            ask.incarnation(), ask.ask(), ask.organisation(), amount, level, outstanding, serving));
   }
 
   private static void start(Organisation organisation, Held state, Now now) {
@@ -276,43 +311,45 @@
   }
 
   /**
-   * Grants tokens to a borrower.
+   * Takes an ask of a borrower.
    *
    * @param from the borrower
    * @param ask its ask
    * @param now the present time
-   * @return the answer; nothing when the ask only settles earlier grants
+   * @return grants to send, also to other borrowers whose asks have waited; the answer to this ask
+   *     follows from {@link #tick} when it has to wait
    */
-  public Optional<TokenGrant> onAsk(InstanceId from, TokenAsk ask, Now now) {
-    Optional<TokenBucket> bucket = serving(new OrganisationId(ask.organisation()), now);
-    bucket.ifPresent(
-        b ->
-            ask.settlements()
-                .forEach(s -> b.settle(key(from, ask.incarnation(), s.ask()), s, now)));
-    if (ask.wanted() <= 0) {
-      return Optional.empty();
+  public List<PeerMessage> onAsk(InstanceId from, TokenAsk ask, Now now) {
+    Optional<Held> state = serving(new OrganisationId(ask.organisation()), now);
+    if (state.isEmpty()) {
+      return ask.wanted() > 0 ? List.of(answer(from, ask, 0, 0, 0, false)) : List.of();
     }
-    double amount =
-        bucket.map(b -> b.grant(key(from, ask.incarnation(), ask.ask()), ask, now)).orElse(0.0);
-    return Optional.of(
-        new TokenGrant(
-            ask.incarnation(),
-            ask.ask(),
-            ask.organisation(),
-            amount,
-            bucket.map(TokenBucket::level).orElse(0.0),
-            bucket.map(TokenBucket::outstanding).orElse(0.0),
-            bucket.isPresent()));
+    TokenBucket bucket = state.get().bucket.orElseThrow();
+    ParkedAsks parked = state.get().parked;
+    ask.settlements().forEach(s -> bucket.settle(key(from, ask.incarnation(), s.ask()), s, now));
+    List<PeerMessage> grants = new ArrayList<>();
+    if (ask.wanted() > 0 && ask.patienceMillis() > 0) {
+      parked.add(from, ask, now);
+    }
+    serve(bucket, parked, now, grants);
+    if (ask.wanted() > 0 && ask.patienceMillis() <= 0) {
+      bucket.refill(now);
+      grants.add(
+          parked.isEmpty()
+              ? grant(from, ask, bucket, now)
+              : answer(from, ask, 0, bucket.level(), bucket.outstanding(), true));
+    }
+    return grants;
   }
 
   private static TokenBucket.LoanKey key(InstanceId from, long incarnation, long ask) {
     return new TokenBucket.LoanKey(from, incarnation, ask);
   }
 
-  private Optional<TokenBucket> serving(OrganisationId id, Now now) {
+  private Optional<Held> serving(OrganisationId id, Now now) {
     if (!isFresh(now)) {
       return Optional.empty();
     }
-    return Optional.ofNullable(held.get(id)).flatMap(state -> state.bucket);
+    return Optional.ofNullable(held.get(id)).filter(state -> state.bucket.isPresent());
   }
 }
--- a/core/src/main/java/org/bergamotcross/core/admission/RateWaitList.java
+++ b/core/src/main/java/org/bergamotcross/core/admission/RateWaitList.java
@@ -90,8 +90,7 @@
     Now limit = now.plus(MAX_WAIT);
     Entry entry =
         new Entry(requestId, organisation, deadline.isBefore(limit) ? deadline : limit, offered++);
-    NavigableSet<Entry> queue =
-        queues.computeIfAbsent(organisation, key -> new TreeSet<>(BY_DEADLINE));
+    NavigableSet<Entry> queue = queues.getOrDefault(organisation, new TreeSet<>(BY_DEADLINE));
     double ahead = queue.headSet(entry).size() + 1.0;
     double missing = ahead - supply.within(entry.until.since(now).toNanos() / 1e9);
     if (missing > 0) {
@@ -101,6 +100,7 @@
     if (byRequest.size() >= capacity || queue.size() >= share()) {
       return Optional.of(new Refusal.Overloaded("rate-wait"));
     }
+    queues.put(organisation, queue);
     queue.add(entry);
     byRequest.put(requestId, entry);
     return Optional.empty();
@@ -121,6 +121,18 @@
     return queue == null ? 0 : queue.size();
   }
 
+  /**
+   * Returns how long the most urgent request of an organisation can still wait.
+   *
+   * @param organisation the organisation
+   * @param now the present time
+   * @return the time, zero when none waits
+   */
+  public Duration patience(OrganisationId organisation, Now now) {
+    NavigableSet<Entry> queue = queues.get(organisation);
+    return queue == null || queue.isEmpty() ? Duration.ZERO : queue.first().until.since(now);
+  }
+
   /**
    * Returns the organisations with waiting requests.
    *
--- a/core/src/main/java/org/bergamotcross/core/admission/TokenAsk.java
+++ b/core/src/main/java/org/bergamotcross/core/admission/TokenAsk.java
@@ -13,6 +13,8 @@
  * @param needed tokens for requests that wait now
  * @param wanted {@code needed} and the tokens to prefetch
  * @param exact whether the holder grants {@code needed} or nothing; used to join fractions
+ * @param patienceMillis how long the most urgent request can still wait; 0 asks for an answer at
+ *     once, otherwise the holder keeps an ask that it can't meet for a short time
  * @param settlements what became of earlier grants of the same holder
  */
 public record TokenAsk(
@@ -22,6 +24,7 @@
     double needed,
     double wanted,
     boolean exact,
+    long patienceMillis,
     List<Settlement> settlements) {
 
   /** Copies the list. */
--- a/core/src/main/java/org/bergamotcross/core/admission/TokenBucket.java
+++ b/core/src/main/java/org/bergamotcross/core/admission/TokenBucket.java
@@ -157,6 +157,10 @@
     }
   }
 
+  boolean hasWholeToken() {
+    return whole(level) >= 1;
+  }
+
   double level() {
     return level;
   }
--- a/core/src/test/java/org/bergamotcross/core/admission/RateHolderTest.java
+++ b/core/src/test/java/org/bergamotcross/core/admission/RateHolderTest.java
@@ -37,13 +37,13 @@
   private void configure(Configuration configuration, Now now) {
     quorum.configure(configuration);
     assertThat(holder.configure(configuration, now)).isEmpty();
-    holder.tick(now);
+    assertThat(holder.tick(now)).isEmpty();
   }
 
   private double granted(Now now) {
-    holder.tick(now);
-    TokenAsk ask = new TokenAsk(9, now.monotonicNanos(), "t/o", 5, 5, false, List.of());
-    return holder.onAsk(new InstanceId("b"), ask, now).orElseThrow().amount();
+    assertThat(holder.tick(now)).isEmpty();
+    TokenAsk ask = new TokenAsk(9, now.monotonicNanos(), "t/o", 5, 5, false, 0, List.of());
+    return ((TokenGrant) holder.onAsk(new InstanceId("b"), ask, now).getFirst().message()).amount();
   }
 
   @Nested
@@ -52,7 +52,9 @@
     void partServesOnlyAfterThePredecessorsLastGrantsEnded() {
       configure(configuration(5, true, 1), START);
       holder.freshUntil(START.plus(Duration.ofMinutes(1)));
-      Now ready = START.plus(Duration.ofSeconds(3)).plus(TokenBucket.LOAN);
+      Now stopped = START.plus(Duration.ofSeconds(3));
+      Now ready = stopped.plus(TokenBucket.LOAN);
+      assertThat(granted(stopped)).isEqualTo(0.0);
       assertThat(granted(ready.plus(Duration.ofMillis(-1)))).isEqualTo(0.0);
       assertThat(granted(ready)).isEqualTo(0.0);
       assertThat(granted(ready.plus(Duration.ofMillis(30)))).isEqualTo(3.0);
@@ -63,12 +65,46 @@
       holder.freshUntil(START.plus(Duration.ofMinutes(1)));
       configure(configuration(5, false, 1), START);
       Now later = START.plus(Duration.ofSeconds(10));
-      holder.tick(later);
+      assertThat(holder.tick(later)).isEmpty();
       configure(configuration(6, true, 1), later);
       assertThat(granted(later.plus(Duration.ofMillis(30)))).isEqualTo(3.0);
     }
   }
 
+  @Nested
+  class MissedRecords {
+    // Two membership records that cancel out: another instance may have got the part in between.
+    @Test
+    void makeAPartThatSeemsUnchangedWaitAgain() {
+      configure(configuration(5, true, 1), START);
+      holder.freshUntil(START.plus(Duration.ofMinutes(1)));
+      assertThat(holder.tick(START)).isEmpty();
+      Now later = START.plus(Duration.ofSeconds(10));
+      assertThat(granted(later.plus(Duration.ofMillis(100)))).isEqualTo(0.0);
+      assertThat(granted(later.plus(Duration.ofMillis(200)))).isEqualTo(5.0);
+      Configuration same = configuration(9, true, 1);
+      Members moved = new Members(9, same.members().list());
+      configure(
+          Configuration.of(9, same.teams(), Set.of(), moved), later.plus(Duration.ofMillis(300)));
+      assertThat(granted(later.plus(Duration.ofSeconds(1)))).isEqualTo(0.0);
+    }
+  }
+
+  @Nested
+  class Handovers {
+    // A holder that still waits knows nothing of what its predecessor grants.
+    @Test
+    void areNotSentByAHolderThatDoesNotServeYet() {
+      configure(configuration(5, true, 1), START);
+      holder.freshUntil(START.plus(Duration.ofMinutes(1)));
+      Configuration before = configuration(6, true, 1);
+      Member other = new Member(new InstanceId("z"), 1, new FailureDomain("d"), "");
+      Configuration after =
+          Configuration.of(6, before.teams(), Set.of(), new Members(6, List.of(other)));
+      assertThat(holder.configure(after, START)).isEmpty();
+    }
+  }
+
   @Nested
   class OtherProcess {
     @Test
@@ -76,6 +112,7 @@
       configure(configuration(5, true, 2), START);
       holder.freshUntil(START.plus(Duration.ofMinutes(1)));
       assertThat(granted(START.plus(Duration.ofSeconds(20)))).isEqualTo(0.0);
+      assertThat(granted(START.plus(Duration.ofSeconds(21)))).isEqualTo(0.0);
     }
   }
 
@@ -85,7 +122,7 @@
     void grantsNothing() {
       holder.freshUntil(START.plus(Duration.ofSeconds(10)));
       configure(configuration(5, true, 1), START);
-      holder.tick(START.plus(Duration.ofSeconds(9)));
+      assertThat(holder.tick(START.plus(Duration.ofSeconds(9)))).isEmpty();
       assertThat(granted(START.plus(Duration.ofMillis(9_900)))).isEqualTo(5.0);
       assertThat(granted(START.plus(Duration.ofSeconds(10)))).isEqualTo(0.0);
     }
@@ -104,7 +141,7 @@
     void bucketDoesNotFillWhileItsTokensAreOut() {
       TokenBucket bucket = new TokenBucket(10, 10, START);
       Now full = START.plus(Duration.ofSeconds(1));
-      TokenAsk ask = new TokenAsk(1, 1, "t/o", 10, 10, false, List.of());
+      TokenAsk ask = new TokenAsk(1, 1, "t/o", 10, 10, false, 0, List.of());
       TokenBucket.LoanKey key = new TokenBucket.LoanKey(SELF, 1, 1);
       assertThat(bucket.grant(key, ask, full)).isEqualTo(10.0);
       // The loan ends 1250 ms later; only then does the bucket fill.
--- a/entry/src/test/java/org/bergamotcross/entry/path/EntryProcess.java
+++ b/entry/src/test/java/org/bergamotcross/entry/path/EntryProcess.java
@@ -41,8 +41,12 @@
   static final String KEY = "key-of-customer-1";
   static final String OTHER_KEY = "key-of-customer-2";
 
+  /** The key of an organisation that may send one request in two seconds. */
+  static final String SLOW_KEY = "key-of-customer-3";
+
   private static final OrganisationId CUSTOMER = new OrganisationId("team/customer");
   private static final OrganisationId OTHER = new OrganisationId("team/other");
+  private static final OrganisationId SLOW = new OrganisationId("team/slow");
   private static final PoolId POOL = new PoolId("team/pool");
 
   // Without the exchange plug-in the incarnation is 0.
@@ -131,10 +135,12 @@
             "team",
             List.of(
                 new Organisation(CUSTOMER, 100_000, 100_000),
-                new Organisation(OTHER, 100_000, 100_000)),
+                new Organisation(OTHER, 100_000, 100_000),
+                new Organisation(SLOW, 0.5, 1)),
             List.of(
                 new Key("k1", CUSTOMER, KeyHash.of(KEY)),
-                new Key("k2", OTHER, KeyHash.of(OTHER_KEY))),
+                new Key("k2", OTHER, KeyHash.of(OTHER_KEY)),
+                new Key("k3", SLOW, KeyHash.of(SLOW_KEY))),
             List.of(new Pool(POOL, 0.5, slots, list)),
             List.of(route("open", Set.of()), route("private", Set.of(CUSTOMER))));
     Set<KeyHash> withdrawn = new LinkedHashSet<>();
