--- a/entry/src/main/java/org/bergamotcross/entry/http/Attempt.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/Attempt.java
@@ -287,6 +287,11 @@
   }
 
   private final class ResponseWatch implements EndWatch.Listener {
+    @Override
+    public void started() {
+      caller.bodyStarted();
+    }
+
     @Override
     public void completed() {
       complete(false);
--- a/entry/src/main/java/org/bergamotcross/entry/http/CallerConnection.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/CallerConnection.java
@@ -17,16 +17,19 @@
   private final Function<HttpRequest, CallerExchange> handler;
   private final Consumer<CallerExchange> onGone;
   private final Runnable onClosed;
+  private final Consumer<Runnable> later;
   private final AtomicReference<Optional<CallerExchange>> current =
       new AtomicReference<>(Optional.empty());
 
   CallerConnection(
       Function<HttpRequest, CallerExchange> handler,
       Consumer<CallerExchange> onGone,
-      Runnable onClosed) {
+      Runnable onClosed,
+      Consumer<Runnable> later) {
     this.handler = handler;
     this.onGone = onGone;
     this.onClosed = onClosed;
+    this.later = later;
   }
 
   /**
@@ -69,11 +72,25 @@
     current.get().filter(exchange -> !HopByHop.closes(exchange.request())).ifPresent(this::leave);
   }
 
+  /**
+   * A response that was given while the connection went down has a body that Pekko never reads, and
+   * its target would go on until the deadline. A body that will be read starts at once.
+   */
   private void closed() {
     current.get().ifPresent(this::leave);
+    current
+        .get()
+        .filter(CallerExchange::isUnread)
+        .ifPresent(exchange -> later.accept(() -> dropUnread(exchange)));
     onClosed.run();
   }
 
+  private void dropUnread(CallerExchange exchange) {
+    if (exchange.isUnread()) {
+      onGone.accept(exchange);
+    }
+  }
+
   private void leave(CallerExchange exchange) {
     if (exchange.callerGone()) {
       onGone.accept(exchange);
--- a/entry/src/main/java/org/bergamotcross/entry/http/CallerExchange.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/CallerExchange.java
@@ -30,6 +30,7 @@
   private final BooleanSupplier closing;
   private final AtomicInteger open;
   private final AtomicBoolean counted = new AtomicBoolean(true);
+  private volatile boolean bodyStarted;
   private final CompletableFuture<HttpResponse> response = new CompletableFuture<>();
 
   /**
@@ -115,6 +116,20 @@
     return !response.isDone();
   }
 
+  /** Tells that the body of the response is being written. */
+  void bodyStarted() {
+    bodyStarted = true;
+  }
+
+  /**
+   * Tells whether the response has a body that nobody started to read.
+   *
+   * @return true after a caller left between the head of its response and the body
+   */
+  boolean isUnread() {
+    return counted.get() && !bodyStarted;
+  }
+
   /** Tells that the whole response was handed over, or that it never will be. */
   void ended() {
     if (counted.compareAndSet(true, false)) {
--- a/entry/src/main/java/org/bergamotcross/entry/http/EndWatch.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/EndWatch.java
@@ -20,6 +20,9 @@
 
   /** How a stream ended; called on a thread of Pekko. */
   interface Listener {
+    /** Somebody started to read the stream. */
+    default void started() {}
+
     /** The source gave all its bytes. */
     void completed();
 
@@ -50,6 +53,7 @@
 
   @Override
   public GraphStageLogic createLogic(Attributes attributes) {
+    listener.started();
     return new Logic();
   }
 
--- a/entry/src/main/java/org/bergamotcross/entry/http/FrontEnd.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/FrontEnd.java
@@ -1,6 +1,7 @@
 package org.bergamotcross.entry.http;
 
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
@@ -38,6 +39,8 @@
 final class FrontEnd implements OpenRequests {
   // Far above the connections of a load balancer; bounds the memory that idle callers hold.
   private static final int MAX_CONNECTIONS = 16_384;
+  // Pekko starts to read a body within microseconds; a second covers a pause of the process.
+  private static final Duration UNREAD_LIMIT = Duration.ofSeconds(1);
 
   private final EventLog events;
   private final TimeSource time;
@@ -71,7 +74,7 @@
         new Intake(
             context.ring(Topics.ADMISSION).orElseThrow(() -> notOpen("admission")),
             context.ring(Topics.ROUTING).orElseThrow(() -> notOpen("routing")),
-            materializer);
+            system);
     ServerBinding opened =
         Listener.await(
             Http.get(system)
@@ -124,12 +127,14 @@
   private final class Intake {
     private final Ring<AdmissionInput> admission;
     private final Ring<RoutingInput> routing;
+    private final ActorSystem system;
     private final Materializer materializer;
 
-    Intake(Ring<AdmissionInput> admission, Ring<RoutingInput> routing, Materializer materializer) {
+    Intake(Ring<AdmissionInput> admission, Ring<RoutingInput> routing, ActorSystem system) {
       this.admission = admission;
       this.routing = routing;
-      this.materializer = materializer;
+      this.system = system;
+      this.materializer = SystemMaterializer.get(system).materializer();
     }
 
     void accept(IncomingConnection incoming) {
@@ -139,7 +144,11 @@
         return;
       }
       CallerConnection connection =
-          new CallerConnection(this::arrive, this::gone, connections::decrementAndGet);
+          new CallerConnection(
+              this::arrive,
+              this::gone,
+              connections::decrementAndGet,
+              check -> system.scheduler().scheduleOnce(UNREAD_LIMIT, check, system.dispatcher()));
       incoming.handleWith(connection.flow(idle), materializer);
     }
 
--- a/entry/src/test/java/org/bergamotcross/entry/path/ClaimEndTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/path/ClaimEndTest.java
@@ -80,6 +80,22 @@
       assertThat(end(half, "").outcome()).isEqualTo(Outcome.UNKNOWN);
     }
 
+    @Test
+    void inABodyThatIsPassedOnAreUnknown() throws Exception {
+      RawTarget.Behaviour half =
+          (connection, request) -> {
+            connection.write(
+                "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + "x".repeat(50_000));
+            connection.close();
+          };
+      try (RawTarget target = new RawTarget(half);
+          EntryProcess entry = start(target.port());
+          Caller caller = new Caller(entry.port())) {
+        caller.start("POST /team/open/x HTTP/1.1\r\nContent-Length: 0", "", KEY);
+        assertThat(ends.poll(5, TimeUnit.SECONDS).outcome()).isEqualTo(Outcome.UNKNOWN);
+      }
+    }
+
     @Test
     void byDeadlineAreUnknown() throws Exception {
       assertThat(end((connection, request) -> connection.awaitClose(), "").outcome())
