Hand over before a planned stop ends; tie claims to method and path

Cause: the process ended as soon as its requests had, perhaps before its leave was read, so that its successors waited 4.25 s for its buckets; requests that waited in admission were not refused at the limit of a stop; and a caller that used one idempotency key for two different requests got the answer of the first one for the second. Change: the stop waits up to 2 s for the own leave and 100 ms for the handover; admission refuses what waits at the limit; the claim covers method and path. Measured: system tests of orders and of the planned stop pass (11 tests), with a new one on one key for two requests. Conclusion: the wait is bounded, so that a stop during a log outage still ends.

--- a/entry/src/main/java/org/bergamotcross/entry/PlannedStop.java
+++ b/entry/src/main/java/org/bergamotcross/entry/PlannedStop.java
@@ -2,6 +2,9 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import org.bergamotcross.core.config.Configuration;
+import org.bergamotcross.core.membership.InstanceId;
 import org.bergamotcross.kernel.Now;
 import org.bergamotcross.kernel.PluginContext;
 import org.bergamotcross.kernel.Ring;
@@ -17,16 +20,23 @@
   // The routing duty cuts requests at its next tick; their refusals still have to be written.
   private static final Duration GRACE = Duration.ofSeconds(1);
   private static final Duration CLOSE_LIMIT = Duration.ofSeconds(1);
+  // An append and a read of the log; without the log the members expel the instance later.
+  private static final Duration LEAVE_LIMIT = Duration.ofSeconds(2);
+  // The messages that hand buckets over have to leave the process.
+  private static final Duration HANDOVER = Duration.ofMillis(100);
   private static final Duration CHECK = Duration.ofMillis(5);
   private static final Duration PARK = Duration.ofHours(1);
 
   private record Signal() {}
 
   private final PluginContext context;
+  private final AtomicReference<Configuration> configuration =
+      new AtomicReference<>(Configuration.EMPTY);
   private final Ring<Signal> signals = new Ring<>("signals", 8);
 
   PlannedStop(PluginContext context) {
     this.context = context;
+    context.subscribe(Broadcasts.CONFIGURATION, configuration::set);
   }
 
   /** Notes a signal; the first one starts the stop and the next one ends it. */
@@ -62,6 +72,7 @@
     }
     open().ifPresent(OpenRequests::closeIdle);
     awaitClosed();
+    awaitLeave();
     context.events().event("stop.ended").with("cut", cut).emit();
     return !cut;
   }
@@ -81,6 +92,20 @@
     }
   }
 
+  /** The holders that replace this instance get its buckets when it has read its own leave. */
+  private void awaitLeave() throws InterruptedException {
+    Now limit = now().plus(LEAVE_LIMIT);
+    while (isMember() && now().isBefore(limit)) {
+      signals.poll(CHECK);
+    }
+    signals.poll(HANDOVER);
+  }
+
+  private boolean isMember() {
+    InstanceId self = new InstanceId(context.settings().value(EntrySettings.INSTANCE_ID));
+    return configuration.get().members().find(self).isPresent();
+  }
+
   private int openRequests() {
     return open().map(OpenRequests::requests).orElse(0);
   }
--- a/entry/src/main/java/org/bergamotcross/entry/duties/AdmissionDuty.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/AdmissionDuty.java
@@ -70,6 +70,7 @@
   private final IdentityHashMap<RequestHandle, ClaimCoordinator> sent = new IdentityHashMap<>();
   private Configuration configuration = Configuration.EMPTY;
   private Optional<Now> freshUntil = Optional.empty();
+  private Optional<Now> stopLimit = Optional.empty();
   private long arrived;
 
   AdmissionDuty(
@@ -116,6 +117,11 @@
         .matching(request -> request.claim().isPresent())
         .forEach(request -> claim(request, request.claim().orElseThrow(), now));
     sent.values().removeIf(claim -> !now.isBefore(claim.deadline().plus(CLAIM_REPORT_LIMIT)));
+    if (stopLimit.filter(limit -> !now.isBefore(limit)).isPresent()) {
+      pending
+          .matching(request -> true)
+          .forEach(request -> refuse(request, new Refusal.Stopping(), now));
+    }
     step(now);
     return pending.isEmpty() && rates.isIdle() ? IDLE_TICK : RateAdmission.TICK;
   }
@@ -126,8 +132,10 @@
       case AdmissionEvent.Confirmed confirmed -> confirm(confirmed.freshness());
       case AdmissionEvent.PeerHeard heard -> quorum.heard(heard.peer(), heard.offset());
       case AdmissionEvent.FromPeer peer -> onPeer(peer.from(), peer.message(), now);
-      case AdmissionEvent.Stop ignored ->
-          rates.giveBack(now).forEach(message -> send(message, now));
+      case AdmissionEvent.Stop stop -> {
+        stopLimit = Optional.of(stop.limit());
+        rates.giveBack(now).forEach(message -> send(message, now));
+      }
     }
   }
 
@@ -243,13 +251,21 @@
         new ClaimCoordinator(
             attempt(request),
             admitted.organisation(),
-            admitted.request().idempotencyKey().orElseThrow(),
+            claimKey(admitted.request()),
             admitted.deadline(),
             now);
     request.claimBy(coordinator);
     claim(request, coordinator, now);
   }
 
+  // The method and the path belong to the key: a caller that uses one key for two different
+  // requests
+  // must not get the answer of the other one.
+  private static String claimKey(CallerRequest request) {
+    return String.join(
+        "\n", request.method(), request.path(), request.idempotencyKey().orElseThrow());
+  }
+
   private String attempt(PendingRequest request) {
     return options.self() + "-" + request.uniqueId();
   }
--- a/entry/src/main/java/org/bergamotcross/entry/duties/AdmissionEvent.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/AdmissionEvent.java
@@ -4,6 +4,7 @@
 import org.bergamotcross.core.membership.InstanceId;
 import org.bergamotcross.entry.AdmissionInput;
 import org.bergamotcross.entry.Broadcasts.Freshness;
+import org.bergamotcross.kernel.Now;
 
 /** What the admission duty learns from other duties and from peers. */
 sealed interface AdmissionEvent extends AdmissionInput.Internal {
@@ -38,6 +39,10 @@
    */
   record FromPeer(InstanceId from, Record message) implements AdmissionEvent {}
 
-  /** The process was told to stop. */
-  record Stop() implements AdmissionEvent {}
+  /**
+   * The process was told to stop.
+   *
+   * @param limit when requests that still wait are refused
+   */
+  record Stop(Now limit) implements AdmissionEvent {}
 }
--- a/entry/src/main/java/org/bergamotcross/entry/duties/AdmissionPlugin.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/AdmissionPlugin.java
@@ -53,7 +53,8 @@
         Broadcasts.PEER_ECHO,
         echo -> ring.offer(new AdmissionEvent.PeerHeard(echo.peer().id(), echo.offset())));
     context.subscribe(
-        Broadcasts.STOPPING, stopping -> ring.offerReserved(new AdmissionEvent.Stop()));
+        Broadcasts.STOPPING,
+        stopping -> ring.offerReserved(new AdmissionEvent.Stop(stopping.limit())));
   }
 
   @Override
--- a/systemtest/src/test/java/org/bergamotcross/systemtest/AtMostOnceFaultTest.java
+++ b/systemtest/src/test/java/org/bergamotcross/systemtest/AtMostOnceFaultTest.java
@@ -86,6 +86,19 @@
     }
   }
 
+  @Nested
+  class OneKeyForTwoRequests {
+    // A caller that uses a key twice must not get the answer to its other request.
+    @Test
+    void runsBoth() throws Exception {
+      Reply first = Fleet.await(fleet.order(fleet.entry(0), "/team/work/first", "order-5"));
+      Reply second = Fleet.await(fleet.order(fleet.entry(1), "/team/work/second", "order-5"));
+      assertThat(first.status()).isEqualTo(200);
+      assertThat(second.status()).isEqualTo(200);
+      assertThat(fleet.executions("order-5")).isEqualTo(2);
+    }
+  }
+
   @Nested
   class PausedInstance {
     // The pause falls at different steps between claim and send; no step may allow two runs.
--- a/systemtest/src/test/java/org/bergamotcross/systemtest/EntryProcess.java
+++ b/systemtest/src/test/java/org/bergamotcross/systemtest/EntryProcess.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.bergamotcross.standin.FreePorts;
 
 /** One entry instance as a process of its own, which a test can kill, pause and stop. */
 final class EntryProcess implements AutoCloseable {
@@ -36,8 +37,8 @@
   static EntryProcess start(
       Path directory, String id, String failureDomain, int platformPort, int peers, String seeds)
       throws IOException {
-    int callers = Ports.free();
-    int operations = Ports.free();
+    int callers = FreePorts.next();
+    int operations = FreePorts.next();
     Path settings = directory.resolve(id + ".ini");
     Files.writeString(
         settings,
--- a/systemtest/src/test/java/org/bergamotcross/systemtest/Fleet.java
+++ b/systemtest/src/test/java/org/bergamotcross/systemtest/Fleet.java
@@ -17,6 +17,7 @@
 import org.bergamotcross.core.config.KeyHash;
 import org.bergamotcross.entry.platform.RecordCodec;
 import org.bergamotcross.kernel.Closer;
+import org.bergamotcross.standin.FreePorts;
 import org.bergamotcross.standin.PlatformStandin;
 import org.bergamotcross.standin.TargetStandin;
 
@@ -59,7 +60,7 @@
           fleet.closer.register("target", TargetStandin.builder("target-" + i).start()));
     }
     for (int i = 0; i < entryCount; i++) {
-      fleet.peerPorts.add(Ports.free());
+      fleet.peerPorts.add(FreePorts.next());
     }
     for (int i = 0; i < entryCount; i++) {
       fleet.entries.add(fleet.startEntry(i));
@@ -184,20 +185,23 @@
 
   /** Sends a non-idempotent request with an idempotency key. */
   CompletableFuture<Reply> order(EntryProcess entry, String idempotencyKey) {
+    return order(entry, "/team/work", idempotencyKey);
+  }
+
+  CompletableFuture<Reply> order(EntryProcess entry, String path, String idempotencyKey) {
     return send(
-        request(entry, KEY)
+        request(entry, path, KEY)
             .header("Idempotency-Key", idempotencyKey)
             .POST(HttpRequest.BodyPublishers.ofString("order"))
             .build());
   }
 
   CompletableFuture<Reply> getLater(EntryProcess entry, String key) {
-    return send(request(entry, key).GET().build());
+    return send(request(entry, "/team/work", key).GET().build());
   }
 
-  private static HttpRequest.Builder request(EntryProcess entry, String key) {
-    return HttpRequest.newBuilder(
-            URI.create("http://127.0.0.1:" + entry.callerPort() + "/team/work"))
+  private static HttpRequest.Builder request(EntryProcess entry, String path, String key) {
+    return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + entry.callerPort() + path))
         .timeout(REQUEST_LIMIT)
         .header("Authorization", "Bearer " + key);
   }
