Take the freshness limit of the rates from the freshness tracker

Cause: the wait of a new holder rests on the time after which a lagging instance has stopped, and that time stood a second time as its own 3 s. Change: RateHolder uses FreshnessTracker.VALIDITY. Measured: 15 tests of holders and of decision isolation pass; no behaviour changes. Conclusion: a changed limit can't leave the two apart.

--- a/core/src/main/java/org/bergamotcross/core/admission/RateHolder.java
+++ b/core/src/main/java/org/bergamotcross/core/admission/RateHolder.java
@@ -9,6 +9,7 @@
 import org.bergamotcross.core.config.Configuration;
 import org.bergamotcross.core.config.Organisation;
 import org.bergamotcross.core.config.OrganisationId;
+import org.bergamotcross.core.membership.FreshnessTracker;
 import org.bergamotcross.core.membership.InstanceId;
 import org.bergamotcross.core.membership.Member;
 import org.bergamotcross.kernel.Now;
@@ -28,7 +29,7 @@
  */
 public final class RateHolder {
   /** After this time an instance that has not learned a configuration has stopped: T = 3 s. */
-  static final Duration FRESHNESS = Duration.ofSeconds(3);
+  static final Duration FRESHNESS = FreshnessTracker.VALIDITY;
 
   /** The freshness limit, and the time for which the predecessor's last grants can be used. */
   static final Duration SETTLE = FRESHNESS.plus(TokenBucket.LOAN);
