--- a/entry/src/main/java/org/bergamotcross/entry/EntryMain.java
+++ b/entry/src/main/java/org/bergamotcross/entry/EntryMain.java
@@ -3,7 +3,6 @@
 import java.io.PrintWriter;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import org.apache.commons.cli.CommandLine;
@@ -107,10 +106,8 @@
 
   private int start(Path file, boolean checkOnly) {
     List<Plugin> plugins = Kernel.discoverPlugins();
-    // Plug-ins share settings; each one is checked and reported once.
     SettingsResult result =
-        Settings.read(
-            file, new LinkedHashSet<>(Kernel.settingsOf(plugins)), Kernel.rulesOf(plugins));
+        Settings.read(file, Kernel.settingsOf(plugins), Kernel.rulesOf(plugins));
     return switch (result) {
       case SettingsResult.Rejected rejected -> {
         rejected.problems().forEach(err::println);
--- a/kernel/src/main/java/org/bergamotcross/kernel/Kernel.java
+++ b/kernel/src/main/java/org/bergamotcross/kernel/Kernel.java
@@ -4,10 +4,12 @@
 import com.codahale.metrics.MetricRegistry;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.ServiceLoader;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
@@ -51,12 +53,12 @@
    * Returns the settings that a set of plug-ins reads.
    *
    * @param plugins the plug-ins
-   * @return all their settings
+   * @return all their settings; one that several plug-ins read is there once
    */
   public static List<Setting<?>> settingsOf(Collection<Plugin> plugins) {
-    List<Setting<?>> all = new ArrayList<>();
+    Set<Setting<?>> all = new LinkedHashSet<>();
     plugins.forEach(plugin -> all.addAll(plugin.settings()));
-    return all;
+    return List.copyOf(all);
   }
 
   /**
