--- a/bench/src/main/java/org/bergamotcross/bench/ConfigurationSlopes.java
+++ b/bench/src/main/java/org/bergamotcross/bench/ConfigurationSlopes.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
 import org.bergamotcross.core.config.Configuration;
@@ -85,7 +86,7 @@
     report(
         "look-up of a route, microseconds",
         1,
-        micros(LOOKUPS, () -> routes.route("/team-0/path-7/item/4711")));
+        micros(LOOKUPS, () -> routes.route(Optional.empty(), "/team-0/path-7/item/4711")));
   }
 
   private static void holders(int size) {
--- a/bench/src/main/java/org/bergamotcross/bench/HealthPolicy.java
+++ b/bench/src/main/java/org/bergamotcross/bench/HealthPolicy.java
@@ -11,6 +11,7 @@
 import org.bergamotcross.core.membership.FailureDomain;
 import org.bergamotcross.core.membership.InstanceId;
 import org.bergamotcross.core.routing.Choice;
+import org.bergamotcross.core.routing.FailureRisk;
 import org.bergamotcross.core.routing.HealthDecision;
 import org.bergamotcross.core.routing.HealthView;
 import org.bergamotcross.core.routing.InFlightCounts;
@@ -38,7 +39,7 @@
   HealthPolicy(
       InstanceId self, FailureDomain domain, Pool pool, UniformRandomProvider random, Now now) {
     this.pool = pool;
-    this.chooser = new TargetChooser(domain, counts, random);
+    this.chooser = new TargetChooser(domain, counts, new FailureRisk(), random);
     this.health = new PoolHealth(self, 1, domain, pool, now);
   }
 
--- a/core/src/main/java/org/bergamotcross/core/admission/RateAdmission.java
+++ b/core/src/main/java/org/bergamotcross/core/admission/RateAdmission.java
@@ -20,7 +20,7 @@
  * RateStep step = rates.step(now); // after each call: sends messages, ends waiting requests
  * }</pre>
  */
-public final class RateAdmission {
+public final class RateAdmission implements RateControl {
   /** The longest time between two calls of {@link #step}. */
   public static final Duration TICK = Duration.ofMillis(10);
 
@@ -50,23 +50,14 @@
     this.waitList = new RateWaitList(waitCapacity);
   }
 
-  /**
-   * Takes a new configuration.
-   *
-   * @param next the configuration
-   * @param now the present time
-   */
+  @Override
   public void configure(Configuration next, Now now) {
     configuration = next;
     outbox.addAll(holder.configure(next, now));
     borrower.configure(next);
   }
 
-  /**
-   * Takes the time until which tokens may be granted and used.
-   *
-   * @param until the end of the freshness
-   */
+  @Override
   public void freshUntil(Now until) {
     freshUntil = Optional.of(until);
     holder.freshUntil(until);
@@ -76,15 +67,7 @@
     return freshUntil.map(now::isBefore).orElse(false);
   }
 
-  /**
-   * Decides on a request.
-   *
-   * @param requestId the request
-   * @param organisation its organisation
-   * @param deadline when its caller stops waiting
-   * @param now the present time
-   * @return the decision
-   */
+  @Override
   public RateDecision arrive(String requestId, Organisation organisation, Now deadline, Now now) {
     if (!isFresh(now)) {
       return new RateDecision.Refused(new Refusal.StaleConfiguration());
@@ -113,23 +96,12 @@
         .orElseGet(RateDecision.Waiting::new);
   }
 
-  /**
-   * Ends the wait of a request whose caller went away or whose key was withdrawn.
-   *
-   * @param requestId the request
-   * @return whether it waited here
-   */
+  @Override
   public boolean cancel(String requestId) {
     return waitList.remove(requestId);
   }
 
-  /**
-   * Takes a message of a peer.
-   *
-   * @param from the sender
-   * @param message the message; a record that is none of the rate messages changes nothing
-   * @param now the present time
-   */
+  @Override
   public void onMessage(InstanceId from, Record message, Now now) {
     switch (message) {
       case TokenAsk ask -> outbox.addAll(holder.onAsk(from, ask, now));
@@ -139,12 +111,7 @@
     }
   }
 
-  /**
-   * Does what is due; called after each other method and at least every {@link #TICK}.
-   *
-   * @param now the present time
-   * @return messages to send and requests that no longer wait
-   */
+  @Override
   public RateStep step(Now now) {
     List<RateStep.Ended> ended = new ArrayList<>();
     if (lastTick.map(at -> !now.isBefore(at.plus(TICK))).orElse(true)) {
@@ -203,21 +170,12 @@
     return Duration.ofMillis((long) Math.ceil(Math.max(0, missing) / rate * 1e3));
   }
 
-  /**
-   * Tells whether nothing is due before the next message.
-   *
-   * @return whether no request waits here and no borrowed token or ask is open
-   */
+  @Override
   public boolean isIdle() {
     return waitList.organisations().isEmpty() && borrower.isIdle();
   }
 
-  /**
-   * Gives back all unused tokens, for a planned stop.
-   *
-   * @param now the present time
-   * @return messages to send
-   */
+  @Override
   public List<PeerMessage> giveBack(Now now) {
     outbox.addAll(borrower.giveBack(now));
     return deliverLocal(now);
--- a/core/src/main/java/org/bergamotcross/core/admission/RequestCheck.java
+++ b/core/src/main/java/org/bergamotcross/core/admission/RequestCheck.java
@@ -7,7 +7,6 @@
 import org.bergamotcross.core.config.Configuration;
 import org.bergamotcross.core.config.Key;
 import org.bergamotcross.core.config.KeyHash;
-import org.bergamotcross.core.config.OrganisationId;
 import org.bergamotcross.core.config.Route;
 import org.bergamotcross.kernel.Now;
 
@@ -32,13 +31,19 @@
    * What the decision needs to know of a request.
    *
    * @param method the HTTP method
+   * @param host the host that the request names, in lower case, without a port
    * @param path the path without the query
    * @param keys the different keys that it presents
    * @param timeout the longest time that the caller allows
    * @param receivedAt when the request arrived
    */
   public record Facts(
-      String method, String path, List<String> keys, Optional<Duration> timeout, Now receivedAt) {
+      String method,
+      Optional<String> host,
+      String path,
+      List<String> keys,
+      Optional<Duration> timeout,
+      Now receivedAt) {
     /** Copies the list. */
     public Facts {
       keys = List.copyOf(keys);
@@ -51,14 +56,12 @@
     /**
      * The request may run.
      *
-     * @param organisation whose request it is
-     * @param key the hash of its key
+     * @param key the key that it came with; nothing on a route that needs none
      * @param route the route
      * @param idempotent whether the method may be repeated
      * @param deadline when the caller stops waiting
      */
-    record Passed(
-        OrganisationId organisation, KeyHash key, Route route, boolean idempotent, Now deadline)
+    record Passed(Optional<Key> key, Route route, boolean idempotent, Now deadline)
         implements Result {}
 
     /**
@@ -83,6 +86,11 @@
     if (!now.isBefore(freshUntil.get())) {
       return refused(new Refusal.StaleConfiguration());
     }
+    Optional<Route> open =
+        configuration.route(facts.host(), facts.path()).filter(this::isOpenWithoutKey);
+    if (open.isPresent() && !hasDotSegment(facts.path())) {
+      return checkUse(Optional.empty(), open.get(), facts, now);
+    }
     return switch (facts.keys().size()) {
       case 0 -> refused(new Refusal.MissingKey());
       case 1 -> checkKey(KeyHash.of(facts.keys().getFirst()), facts, now);
@@ -90,6 +98,10 @@
     };
   }
 
+  private boolean isOpenWithoutKey(Route route) {
+    return !route.needsKey() || !configuration.hasOrganisations();
+  }
+
   private Result checkKey(KeyHash hash, Facts facts, Now now) {
     if (configuration.isWithdrawn(hash)) {
       return refused(new Refusal.WithdrawnKey());
@@ -105,7 +117,7 @@
       return refused(new Refusal.NoRoute(facts.path()));
     }
     return configuration
-        .route(facts.path())
+        .route(facts.host(), facts.path())
         .map(route -> checkPermission(key, route, facts, now))
         .orElseGet(() -> refused(new Refusal.NoRoute(facts.path())));
   }
@@ -114,23 +126,22 @@
     if (!route.allows(key.organisation())) {
       return refused(new Refusal.OrganisationNotAllowed(route.name()));
     }
-    if (!route.methods().contains(facts.method())) {
+    return checkUse(Optional.of(key), route, facts, now);
+  }
+
+  private Result checkUse(Optional<Key> key, Route route, Facts facts, Now now) {
+    if (!route.takes(facts.method())) {
       return refused(new Refusal.MethodNotAllowed(facts.method(), route.name()));
     }
     Now deadline = deadline(route, facts);
     if (!now.isBefore(deadline)) {
       return refused(new Refusal.DeadlineBeforeSend());
     }
-    return new Result.Passed(
-        key.organisation(),
-        key.hash(),
-        route,
-        route.idempotent().contains(facts.method()),
-        deadline);
+    return new Result.Passed(key, route, route.isIdempotent(facts.method()), deadline);
   }
 
   private Now deadline(Route route, Facts facts) {
-    Duration allowed = shorter(route.timeout(), maxTimeout);
+    Duration allowed = shorter(route.limits().timeout(), maxTimeout);
     return facts.receivedAt().plus(facts.timeout().map(t -> shorter(t, allowed)).orElse(allowed));
   }
 
--- a/core/src/main/java/org/bergamotcross/core/config/Configuration.java
+++ b/core/src/main/java/org/bergamotcross/core/config/Configuration.java
@@ -17,6 +17,8 @@
   /** Nothing is configured. */
   public static final Configuration EMPTY = of(-1, Map.of(), Set.of(), Members.NONE);
 
+  private static final String ANY_HOST = "";
+
   private final long offset;
   private final Map<String, TeamSettings> teams;
   private final Set<KeyHash> withdrawn;
@@ -24,7 +26,8 @@
   private final Map<KeyHash, Key> keys = new HashMap<>();
   private final Map<OrganisationId, Organisation> organisations = new HashMap<>();
   private final Map<PoolId, Pool> pools = new HashMap<>();
-  private final Map<String, Route> routes = new HashMap<>();
+  // By host, in which "" stands for all hosts, and path prefix.
+  private final Map<String, Map<String, Route>> routes = new HashMap<>();
 
   private Configuration(
       long offset, Map<String, TeamSettings> teams, Set<KeyHash> withdrawn, Members members) {
@@ -36,7 +39,12 @@
       team.organisations().forEach(o -> organisations.put(o.id(), o));
       team.keys().forEach(key -> keys.put(key.hash(), key));
       team.pools().forEach(pool -> pools.put(pool.id(), pool));
-      team.routes().forEach(route -> routes.put(route.path(), route));
+      team.routes()
+          .forEach(
+              route ->
+                  routes
+                      .computeIfAbsent(route.host().orElse(ANY_HOST), host -> new HashMap<>())
+                      .put(route.path(), route));
     }
   }
 
@@ -142,19 +150,40 @@
   /**
    * Finds the route with the longest path that is a prefix of the given one.
    *
+   * <p>The routes of the host go before those of all hosts.
+   *
+   * @param host the host of the request in lower case, without a port
    * @param path the path of a request, without the query
    * @return the route
    */
-  public Optional<Route> route(String path) {
+  public Optional<Route> route(Optional<String> host, String path) {
+    return host.map(routes::get)
+        .flatMap(ofHost -> longestPrefix(ofHost, path))
+        .or(() -> longestPrefix(routes.getOrDefault(ANY_HOST, Map.of()), path));
+  }
+
+  private static Optional<Route> longestPrefix(Map<String, Route> candidates, String path) {
     String prefix = path;
     while (!prefix.isEmpty()) {
-      Route route = routes.get(prefix);
+      Route route = candidates.get(prefix);
       if (route != null) {
         return Optional.of(route);
       }
-      int slash = prefix.lastIndexOf('/');
-      prefix = slash < 0 ? "" : prefix.substring(0, slash);
+      // "/a/b" is followed by "/a/", which matches what lies below, and that by "/a".
+      prefix =
+          prefix.endsWith("/")
+              ? prefix.substring(0, prefix.length() - 1)
+              : prefix.substring(0, prefix.lastIndexOf('/') + 1);
     }
     return Optional.empty();
   }
+
+  /**
+   * Tells whether callers have to present keys.
+   *
+   * @return whether any organisation is configured
+   */
+  public boolean hasOrganisations() {
+    return !organisations.isEmpty();
+  }
 }
--- a/core/src/main/java/org/bergamotcross/core/membership/Members.java
+++ b/core/src/main/java/org/bergamotcross/core/membership/Members.java
@@ -58,7 +58,7 @@
     List<Member> ranked =
         list.stream()
             .sorted(
-                Comparator.comparingLong((Member member) -> weight(key, member))
+                Comparator.comparingLong((Member member) -> weight(key, member.id()))
                     .reversed()
                     .thenComparing(Member::id))
             .toList();
@@ -72,8 +72,15 @@
     return List.copyOf(holders);
   }
 
-  private static long weight(String key, Member member) {
-    byte[] bytes = (key + '\n' + member.id().value()).getBytes(StandardCharsets.UTF_8);
+  /**
+   * Ranks an instance for a key by rendezvous hashing.
+   *
+   * @param key for example the id of an organisation
+   * @param instance the instance
+   * @return the rank; the highest one is chosen first
+   */
+  public static long weight(String key, InstanceId instance) {
+    byte[] bytes = (key + '\n' + instance.value()).getBytes(StandardCharsets.UTF_8);
     return MurmurHash3.hash128x64(bytes)[0];
   }
 }
--- a/core/src/main/java/org/bergamotcross/core/routing/RetryPolicy.java
+++ b/core/src/main/java/org/bergamotcross/core/routing/RetryPolicy.java
@@ -26,7 +26,6 @@
  * }</pre>
  */
 public final class RetryPolicy {
-  static final int MAX_ATTEMPTS = 4;
   static final Duration BASE_DELAY = Duration.ofMillis(25);
   static final Duration MAX_DELAY = Duration.ofSeconds(1);
   private static final int TOO_MANY_REQUESTS = 429;
@@ -38,7 +37,8 @@
    * @param pool the pool
    * @param target the target
    * @param number the number of the attempt, from 1
-   * @param idempotent whether the request may be repeated without a further effect
+   * @param maxNumber the number of attempts that the request may have
+   * @param repetition what stands against sending the request again
    * @param mayHaveRun whether an earlier attempt may have run, see {@link #mayHaveRun}
    * @param deadline when the caller stops waiting
    */
@@ -46,12 +46,47 @@
       PoolId pool,
       TargetId target,
       int number,
-      boolean idempotent,
+      int maxNumber,
+      Repetition repetition,
       boolean mayHaveRun,
       Now deadline) {}
 
+  /** What stands against sending a request again. */
+  public enum Repetition {
+    /** Nothing: it has no further effect. */
+    FREE,
+    /** It may run once only, so that it is repeated only when it has not run. */
+    ONLY_IF_NOT_RUN,
+    /** Its body was a stream that is not kept. */
+    BODY_SPENT
+  }
+
+  /**
+   * How many retries a pool may get.
+   *
+   * @param share retries per request
+   * @param reserve retries of all instances together beyond the share; 0 for a reserve of each
+   *     instance that does not depend on their number
+   */
+  public record Limits(double share, double reserve) {
+    /** Suits a fleet whose operator has set nothing. */
+    public static final Limits DEFAULT = new Limits(RetryBudget.SHARE, 0);
+
+    boolean isOfFleet() {
+      return reserve > 0;
+    }
+  }
+
+  /** Leaves room for instances that start anew within one window, each with a first retry. */
+  private static final double USED_RESERVE = 0.75;
+
+  /** The requests of a window are counted by the receivers, a moment later than here. */
+  private static final double USED_SHARE = 0.9;
+
   private final UniformRandomProvider random;
+  private final Limits limits;
   private final Map<PoolId, RetryBudget> budgets = new HashMap<>();
+  private int instances = 1;
 
   /**
    * Creates a policy with a fresh budget for each pool.
@@ -59,7 +94,34 @@
    * @param random the source of random numbers, seeded by the caller
    */
   public RetryPolicy(UniformRandomProvider random) {
+    this(random, Limits.DEFAULT);
+  }
+
+  /**
+   * Creates a policy with a fresh budget for each pool.
+   *
+   * @param random the source of random numbers, seeded by the caller
+   * @param limits what the retries of the fleet may amount to
+   */
+  public RetryPolicy(UniformRandomProvider random, Limits limits) {
     this.random = random;
+    this.limits = limits;
+  }
+
+  /**
+   * Takes the size of the fleet, over which the reserve is spread.
+   *
+   * @param count the number of instances, this one included
+   */
+  public void instances(int count) {
+    instances = Math.max(1, count);
+    if (limits.isOfFleet()) {
+      budgets.values().forEach(budget -> budget.limit(reserveOfInstance()));
+    }
+  }
+
+  private double reserveOfInstance() {
+    return limits.reserve() * USED_RESERVE / instances;
   }
 
   /**
@@ -130,8 +192,7 @@
   }
 
   private Optional<RetryDecision> retry(Attempt attempt, SendResult result, Now now) {
-    boolean repeatable = attempt.idempotent() || result instanceof SendResult.ConnectFailed;
-    if (!repeatable || attempt.number() >= MAX_ATTEMPTS) {
+    if (!isRepeatable(attempt, result) || attempt.number() >= attempt.maxNumber()) {
       return Optional.empty();
     }
     Duration delay = delay(attempt.number(), result);
@@ -141,6 +202,14 @@
     return Optional.of(new RetryDecision.Retry(delay));
   }
 
+  private static boolean isRepeatable(Attempt attempt, SendResult result) {
+    return switch (attempt.repetition()) {
+      case FREE -> true;
+      case ONLY_IF_NOT_RUN -> !mayHaveRun(result);
+      case BODY_SPENT -> result instanceof SendResult.ConnectFailed;
+    };
+  }
+
   private Duration delay(int number, SendResult result) {
     long limit = Math.min(MAX_DELAY.toNanos(), BASE_DELAY.toNanos() << (number - 1));
     Duration jitter = Duration.ofNanos(random.nextLong(limit));
@@ -163,6 +232,11 @@
   }
 
   private RetryBudget budget(PoolId pool) {
-    return budgets.computeIfAbsent(pool, id -> new RetryBudget());
+    return budgets.computeIfAbsent(
+        pool,
+        id ->
+            limits.isOfFleet()
+                ? RetryBudget.ofFleet(limits.share() * USED_SHARE, reserveOfInstance())
+                : new RetryBudget());
   }
 }
--- a/core/src/main/java/org/bergamotcross/core/routing/TargetChooser.java
+++ b/core/src/main/java/org/bergamotcross/core/routing/TargetChooser.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,8 +15,8 @@
 import org.bergamotcross.kernel.Now;
 
 /**
- * Chooses the target of an attempt: of two random eligible targets the one with fewer known
- * requests in flight.
+ * Chooses the target of an attempt: of two random eligible targets of the best standing the one
+ * with fewer known requests in flight.
  *
  * <pre>{@code
  * switch (chooser.choose(pool, health, idempotent, Optional.empty(), now)) {
@@ -35,10 +36,22 @@
   /** The shortest time between two trials, so that one view can't start two of them. */
   static final Duration TRIAL_PAUSE = Duration.ofSeconds(1);
 
+  /** How long a target of doubtful standing is left alone by requests that may be repeated. */
+  static final Duration EXPLORE_AFTER = Duration.ofMillis(1_500);
+
+  /** The same for requests that may not be repeated, because a failure of theirs is final. */
+  static final Duration EXPLORE_AFTER_NOT_IDEMPOTENT = Duration.ofMillis(3_500);
+
+  /** The share of requests that explore; all instances together learn within a second or two. */
+  static final double EXPLORE_SHARE = 0.08;
+
+  static final double EXPLORE_SHARE_NOT_IDEMPOTENT = 0.03;
+
   private record Candidate(Target target, double weight, int inFlight) {}
 
   private final FailureDomain own;
   private final InFlightCounts inFlight;
+  private final FailureRisk risks;
   private final UniformRandomProvider random;
   private final Map<TargetId, Now> shedUntil = new HashMap<>();
   private final Map<TargetId, Now> trialUntil = new HashMap<>();
@@ -48,11 +61,14 @@
    *
    * @param own the failure domain of the instance
    * @param inFlight the counts, kept by the caller
+   * @param risks the estimates of the targets, kept by the caller
    * @param random the source of random numbers, seeded by the caller
    */
-  public TargetChooser(FailureDomain own, InFlightCounts inFlight, UniformRandomProvider random) {
+  public TargetChooser(
+      FailureDomain own, InFlightCounts inFlight, FailureRisk risks, UniformRandomProvider random) {
     this.own = own;
     this.inFlight = inFlight;
+    this.risks = risks;
     this.random = random;
   }
 
@@ -80,6 +96,11 @@
     if (eligible.isEmpty()) {
       return anyInUse(pool, health) ? new Choice.Busy() : new Choice.NoneInUse();
     }
+    Optional<Candidate> explored = explore(eligible, idempotent && previous.isEmpty(), now);
+    if (explored.isPresent()) {
+      return new Choice.Chosen(explored.get().target(), false, explored.get().inFlight());
+    }
+    eligible = bestStanding(eligible, now);
     Candidate first = draw(eligible);
     eligible.remove(first);
     Candidate best = eligible.isEmpty() ? first : better(first, draw(eligible));
@@ -125,6 +146,46 @@
     return eligible;
   }
 
+  /** Sends a few requests to targets of which nothing recent is known, so that they come back. */
+  private Optional<Candidate> explore(List<Candidate> eligible, boolean idempotent, Now now) {
+    double share = idempotent ? EXPLORE_SHARE : EXPLORE_SHARE_NOT_IDEMPOTENT;
+    boolean hasSound =
+        eligible.stream().anyMatch(c -> standing(c, now) == FailureRisk.Standing.SOUND);
+    if (!hasSound || random.nextDouble() >= share) {
+      return Optional.empty();
+    }
+    Duration after = idempotent ? EXPLORE_AFTER : EXPLORE_AFTER_NOT_IDEMPOTENT;
+    List<Candidate> doubtful =
+        eligible.stream()
+            .filter(c -> standing(c, now) == FailureRisk.Standing.DOUBTFUL)
+            .filter(
+                c ->
+                    risks
+                        .silence(c.target().id(), now)
+                        .filter(silence -> silence.compareTo(after) < 0)
+                        .isEmpty())
+            .toList();
+    return doubtful.isEmpty()
+        ? Optional.empty()
+        : Optional.of(doubtful.get(random.nextInt(doubtful.size())));
+  }
+
+  /** Keeps the candidates of the best standing; a busy one of them was left out before. */
+  private List<Candidate> bestStanding(List<Candidate> eligible, Now now) {
+    FailureRisk.Standing best =
+        eligible.stream()
+            .map(candidate -> standing(candidate, now))
+            .min(Comparator.naturalOrder())
+            .orElse(FailureRisk.Standing.DOUBTFUL);
+    List<Candidate> kept = new ArrayList<>(eligible);
+    kept.removeIf(candidate -> standing(candidate, now) != best);
+    return kept;
+  }
+
+  private FailureRisk.Standing standing(Candidate candidate, Now now) {
+    return risks.standing(candidate.target().id(), now);
+  }
+
   private static boolean isOver(Map<TargetId, Now> ends, TargetId target, Now now) {
     Now end = ends.get(target);
     if (end == null) {
--- a/core/src/main/java/org/bergamotcross/core/routing/WaitQueue.java
+++ b/core/src/main/java/org/bergamotcross/core/routing/WaitQueue.java
@@ -9,10 +9,11 @@
 import java.util.TreeSet;
 import java.util.function.Predicate;
 import org.bergamotcross.core.config.OrganisationId;
+import org.bergamotcross.core.config.Route;
 import org.bergamotcross.kernel.Now;
 
 /**
- * Holds requests that wait for a target, the earliest deadline first.
+ * Holds requests that wait for a target, by priority and then the earliest deadline first.
  *
  * <p>One organisation uses at most a quarter of the queue, so that it can't push out the others.
  *
@@ -35,12 +36,13 @@
   }
 
   private record Waiter<T>(
-      String id, long order, OrganisationId organisation, Now deadline, T request) {}
+      String id, long order, OrganisationId organisation, int priority, Now deadline, T request) {}
 
   private final int capacity;
   private final TreeSet<Waiter<T>> waiters =
       new TreeSet<>(
-          Comparator.comparing((Waiter<T> waiter) -> waiter.deadline())
+          Comparator.comparingInt((Waiter<T> waiter) -> waiter.priority())
+              .thenComparing(Waiter::deadline)
               .thenComparingLong(Waiter::order));
   private final Map<String, Waiter<T>> byId = new HashMap<>();
   private final Map<OrganisationId, Integer> shares = new HashMap<>();
@@ -60,7 +62,7 @@
   }
 
   /**
-   * Offers a request.
+   * Offers a request of the middle priority.
    *
    * @param id the request id, unique in the queue
    * @param organisation whose request it is
@@ -70,13 +72,29 @@
    * @throws IllegalArgumentException if a request with the id waits already
    */
   public Entry offer(String id, OrganisationId organisation, Now deadline, T request) {
+    return offer(id, organisation, Route.Limits.DEFAULT_PRIORITY, deadline, request);
+  }
+
+  /**
+   * Offers a request.
+   *
+   * @param id the request id, unique in the queue
+   * @param organisation whose request it is
+   * @param priority its rank; 0 is served first
+   * @param deadline when the caller stops waiting
+   * @param request the request
+   * @return whether it waits now
+   * @throws IllegalArgumentException if a request with the id waits already
+   */
+  public Entry offer(
+      String id, OrganisationId organisation, int priority, Now deadline, T request) {
     if (waiters.size() >= capacity) {
       return new Entry.Full();
     }
     if (shares.getOrDefault(organisation, 0) >= Math.max(1, capacity / PARTS)) {
       return new Entry.ShareUsed();
     }
-    Waiter<T> waiter = new Waiter<>(id, order++, organisation, deadline, request);
+    Waiter<T> waiter = new Waiter<>(id, order++, organisation, priority, deadline, request);
     if (byId.putIfAbsent(id, waiter) != null) {
       throw new IllegalArgumentException("request " + id + " waits already; use a unique id");
     }
@@ -88,7 +106,7 @@
   /**
    * Returns the request that is served next and leaves it in the queue.
    *
-   * @return the request with the earliest deadline
+   * @return the request of the first priority with the earliest deadline
    */
   public Optional<T> peek() {
     return waiters.isEmpty() ? Optional.empty() : Optional.of(waiters.first().request());
@@ -97,7 +115,7 @@
   /**
    * Takes the request that is served next.
    *
-   * @return the request with the earliest deadline
+   * @return the request of the first priority with the earliest deadline
    */
   public Optional<T> poll() {
     return waiters.isEmpty() ? Optional.empty() : Optional.of(take(waiters.first()));
@@ -117,13 +135,13 @@
    * Takes all requests whose deadline has come.
    *
    * @param now the present time
-   * @return the requests, the earliest deadline first
+   * @return the requests in the order of the queue
    */
   public List<T> removeExpired(Now now) {
     List<T> expired = new ArrayList<>();
-    while (!waiters.isEmpty() && !waiters.first().deadline().isAfter(now)) {
-      expired.add(take(waiters.first()));
-    }
+    List<Waiter<T>> late =
+        waiters.stream().filter(waiter -> !waiter.deadline().isAfter(now)).toList();
+    late.forEach(waiter -> expired.add(take(waiter)));
     return expired;
   }
 
@@ -131,7 +149,7 @@
    * Takes all requests that meet a condition, for example those with a withdrawn key.
    *
    * @param condition the condition
-   * @return the requests, the earliest deadline first
+   * @return the requests in the order of the queue
    */
   public List<T> removeIf(Predicate<T> condition) {
     List<Waiter<T>> found =
@@ -145,7 +163,7 @@
    * @return the time at which the next request expires
    */
   public Optional<Now> nextDeadline() {
-    return waiters.isEmpty() ? Optional.empty() : Optional.of(waiters.first().deadline());
+    return waiters.stream().map(Waiter::deadline).min(Comparator.naturalOrder());
   }
 
   /**
--- a/entry/src/main/java/org/bergamotcross/entry/Broadcasts.java
+++ b/entry/src/main/java/org/bergamotcross/entry/Broadcasts.java
@@ -1,14 +1,18 @@
 package org.bergamotcross.entry;
 
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.bergamotcross.core.config.Configuration;
 import org.bergamotcross.core.config.TargetId;
 import org.bergamotcross.core.membership.InstanceId;
 import org.bergamotcross.core.membership.Member;
+import org.bergamotcross.core.membership.PeerView;
 import org.bergamotcross.core.routing.HealthView;
 import org.bergamotcross.kernel.Broadcast;
 import org.bergamotcross.kernel.Now;
+import org.bergamotcross.kernel.Settings;
 
 /** The broadcasts that the plug-ins of an entry instance share. */
 public final class Broadcasts {
@@ -37,8 +41,30 @@
   /** What a peer told about its requests in flight; published by the health plug-in. */
   public static final Broadcast<PeerInFlight> PEER_IN_FLIGHT = new Broadcast<>("peer-in-flight");
 
+  /** Which peers are heard; published by the exchange duty when it changes. */
+  public static final Broadcast<PeerView> PEERS = new Broadcast<>("peers");
+
+  /** Instances that a list outside the fleet names; the exchange introduces itself to them. */
+  public static final Broadcast<FoundPeers> FOUND_PEERS = new Broadcast<>("found-peers");
+
+  /** The settings file has changed and is right; published by the daemon. */
+  public static final Broadcast<Settings> SETTINGS = new Broadcast<>("settings");
+
   private Broadcasts() {}
 
+  /**
+   * Instances that were found outside the fleet.
+   *
+   * @param members the instances, without this one
+   */
+  public record FoundPeers(List<Member> members) {
+
+    /** Copies the list. */
+    public FoundPeers {
+      members = List.copyOf(members);
+    }
+  }
+
   /**
    * The targets that must get no new work because they leave.
    *
@@ -98,6 +124,18 @@
    * The start of a planned stop.
    *
    * @param limit when the process ends even if requests are still open
+   * @param acceptUntil until when new requests are still served, because load balancers notice the
+   *     stop late; nothing when they are refused from now on
    */
-  public record Stopping(Now limit) {}
+  public record Stopping(Now limit, Optional<Now> acceptUntil) {
+
+    /**
+     * Creates the start of a stop in which new requests are refused at once.
+     *
+     * @param limit when the process ends even if requests are still open
+     */
+    public Stopping(Now limit) {
+      this(limit, Optional.empty());
+    }
+  }
 }
--- a/entry/src/main/java/org/bergamotcross/entry/CallerRequest.java
+++ b/entry/src/main/java/org/bergamotcross/entry/CallerRequest.java
@@ -10,6 +10,7 @@
  *
  * @param id the request id, given by the caller or made by the front end
  * @param method the HTTP method
+ * @param host the host that the request names, in lower case, without a port
  * @param path the path without the query
  * @param keys the different keys that the request presents, as text; never logged
  * @param idempotencyKey the caller's idempotency key
@@ -20,6 +21,7 @@
 public record CallerRequest(
     String id,
     String method,
+    Optional<String> host,
     String path,
     List<String> keys,
     Optional<String> idempotencyKey,
--- a/entry/src/main/java/org/bergamotcross/entry/EntryMain.java
+++ b/entry/src/main/java/org/bergamotcross/entry/EntryMain.java
@@ -118,15 +118,21 @@
           out.println(file + ": no problems");
           yield DONE;
         }
-        yield serve(new Kernel(plugins, loaded.settings(), TimeSource.system()));
+        yield serve(file, plugins, new Kernel(plugins, loaded.settings(), TimeSource.system()));
       }
     };
   }
 
-  private int serve(Kernel kernel) {
+  private int serve(Path file, List<Plugin> plugins, Kernel kernel) {
     Logging.configure();
     PlannedStop stop = new PlannedStop(kernel.context());
     Signals.onStop(stop::signal);
+    SettingsWatch watch =
+        kernel
+            .context()
+            .closer()
+            .register("settings-watch", new SettingsWatch(file, plugins, kernel.context()));
+    Signals.onReload(watch::signal);
     try {
       kernel.start();
     } catch (PluginStartException e) {
--- a/entry/src/main/java/org/bergamotcross/entry/EntrySettings.java
+++ b/entry/src/main/java/org/bergamotcross/entry/EntrySettings.java
@@ -27,6 +27,15 @@
   public static final Setting<InetSocketAddress> OPERATIONS =
       Setting.address("listen", "operations");
 
+  /** The path at which load balancers ask whether the instance is ready. */
+  public static final Setting<String> READY_PATH =
+      new Setting<>(
+          "operations",
+          "ready-path",
+          "a path such as /health",
+          Optional.of("/health"),
+          text -> Optional.of(text).filter(t -> t.matches("/[A-Za-z0-9/_.-]*")));
+
   /** Where the log and the instance list are served. */
   public static final Setting<InetSocketAddress> PLATFORM = Setting.address("platform", "address");
 
@@ -46,6 +55,33 @@
   public static final Setting<Integer> MAX_TIMEOUT_MS =
       Setting.integer("limits", "max-timeout-ms", 1, 60_000).orDefault("30000");
 
+  /** Retries per request that a pool may get over all instances. */
+  public static final Setting<Double> RETRY_SHARE =
+      Setting.decimal("retries", "share", 0, 1).orDefault("0.1");
+
+  /**
+   * Retries of a pool beyond the share, of all instances together within ten seconds; 0 gives each
+   * instance a reserve of its own, whatever their number.
+   */
+  public static final Setting<Integer> RETRY_FLEET_RESERVE =
+      Setting.integer("retries", "fleet-reserve", 0, 1_000_000).orDefault("0");
+
+  /** How the instances share the rates of organisations. */
+  public static final Setting<String> RATE_SHARING =
+      Setting.oneOf("rates", "sharing", List.of("holders", "owner")).orDefault("holders");
+
+  /** The time in ms for which a stopping instance still serves new requests. */
+  public static final Setting<Integer> STOP_ACCEPT_MS =
+      Setting.integer("stop", "accept-ms", 0, 60_000).orDefault("0");
+
+  /** The time in ms after which a stopping instance cuts what is still open. */
+  public static final Setting<Integer> STOP_LIMIT_MS =
+      Setting.integer("stop", "limit-ms", 100, 600_000).orDefault("30000");
+
+  /** The time between two beats to each peer, in ms. */
+  public static final Setting<Integer> BEAT_MS =
+      Setting.integer("peers", "beat-ms", 100, 60_000).orDefault("500");
+
   private EntrySettings() {}
 
   /**
--- a/entry/src/main/java/org/bergamotcross/entry/PlannedStop.java
+++ b/entry/src/main/java/org/bergamotcross/entry/PlannedStop.java
@@ -8,6 +8,7 @@
 import org.bergamotcross.kernel.Now;
 import org.bergamotcross.kernel.PluginContext;
 import org.bergamotcross.kernel.Ring;
+import org.bergamotcross.kernel.Setting;
 
 /**
  * Ends an instance in good order: requests in hand finish, new ones are refused.
@@ -16,7 +17,6 @@
  * has come at the second one.
  */
 final class PlannedStop {
-  private static final Duration LIMIT = Duration.ofSeconds(30);
   // The routing duty cuts requests at its next tick; their refusals still have to be written.
   private static final Duration GRACE = Duration.ofSeconds(1);
   private static final Duration CLOSE_LIMIT = Duration.ofSeconds(1);
@@ -62,11 +62,14 @@
   }
 
   private boolean stop() throws InterruptedException {
-    Now limit = announce(LIMIT);
+    Now limit = now().plus(millis(EntrySettings.STOP_LIMIT_MS));
+    serveOn(limit);
+    announce(limit, Optional.empty());
     boolean cut = false;
     while (openRequests() > 0 && now().isBefore(limit.plus(GRACE))) {
       if (signals.poll(CHECK).isPresent()) {
-        limit = announce(Duration.ZERO);
+        limit = now();
+        announce(limit, Optional.empty());
       }
       cut |= !now().isBefore(limit) && openRequests() > 0;
     }
@@ -77,11 +80,27 @@
     return !cut;
   }
 
-  private Now announce(Duration time) {
-    Now limit = now().plus(time);
-    context.events().event("stop.started").with("limit-ms", time.toMillis()).emit();
-    context.publish(Broadcasts.STOPPING, new Broadcasts.Stopping(limit));
-    return limit;
+  /** Serves new requests until load balancers have noticed the stop, or until a second signal. */
+  private void serveOn(Now limit) throws InterruptedException {
+    Duration accept = millis(EntrySettings.STOP_ACCEPT_MS);
+    if (!accept.isZero()) {
+      announce(limit, Optional.of(now().plus(accept)));
+      signals.poll(accept);
+    }
+  }
+
+  private void announce(Now limit, Optional<Now> acceptUntil) {
+    context
+        .events()
+        .event("stop.started")
+        .with("limit-ms", limit.since(now()).toMillis())
+        .with("accepting", acceptUntil.isPresent())
+        .emit();
+    context.publish(Broadcasts.STOPPING, new Broadcasts.Stopping(limit, acceptUntil));
+  }
+
+  private Duration millis(Setting<Integer> setting) {
+    return Duration.ofMillis(context.settings().value(setting));
   }
 
   /** The last responses are still being written after their requests have ended. */
--- a/entry/src/main/java/org/bergamotcross/entry/Signals.java
+++ b/entry/src/main/java/org/bergamotcross/entry/Signals.java
@@ -1,6 +1,7 @@
 package org.bergamotcross.entry;
 
 import java.lang.reflect.Proxy;
+import java.util.List;
 
 /** Receives SIGTERM and SIGINT. */
 final class Signals {
@@ -17,6 +18,20 @@
    * @throws IllegalStateException if the JVM has no such module
    */
   static void onStop(Runnable action) {
+    on(List.of("TERM", "INT"), action);
+  }
+
+  /**
+   * Calls an action for each SIGHUP, which would otherwise end the process.
+   *
+   * @param action called on a thread of the JVM; it must return at once
+   * @throws IllegalStateException if the JVM has no such module
+   */
+  static void onReload(Runnable action) {
+    on(List.of("HUP"), action);
+  }
+
+  private static void on(List<String> names, Runnable action) {
     try {
       Class<?> signal = Class.forName("sun.misc.Signal");
       Class<?> handler = Class.forName("sun.misc.SignalHandler");
@@ -28,7 +43,7 @@
                 action.run();
                 return null;
               });
-      for (String name : new String[] {"TERM", "INT"}) {
+      for (String name : names) {
         signal
             .getMethod("handle", signal, handler)
             .invoke(null, signal.getConstructor(String.class).newInstance(name), proxy);
--- /dev/null
+++ b/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogInput.java
@@ -0,0 +1,30 @@
+package org.bergamotcross.entry.catalog;
+
+import org.bergamotcross.core.membership.InstanceId;
+import org.bergamotcross.core.membership.PeerView;
+import org.bergamotcross.entry.CatalogSource;
+
+/** The messages of the catalog duty. */
+sealed interface CatalogInput {
+
+  /** A read of the settings has ended. */
+  record SettingsRead(CatalogSource.SettingsRead result) implements CatalogInput {}
+
+  /** A read of the list of targets has ended. */
+  record TargetsRead(CatalogSource.TargetsRead result) implements CatalogInput {}
+
+  /** The announcement of this instance has ended. */
+  record Announced(CatalogSource.Announced result) implements CatalogInput {}
+
+  /** Other peers are heard than before. */
+  record PeersChanged(PeerView view) implements CatalogInput {}
+
+  /** A peer tells of a read. */
+  record News(InstanceId from, CatalogMessages.News message) implements CatalogInput {}
+
+  /** A peer asks for what it lacks. */
+  record Ask(InstanceId from, CatalogMessages.Ask message) implements CatalogInput {}
+
+  /** A peer sends what this instance asked for. */
+  record State(InstanceId from, CatalogMessages.State message) implements CatalogInput {}
+}
--- /dev/null
+++ b/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogPlugin.java
@@ -0,0 +1,124 @@
+package org.bergamotcross.entry.catalog;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicReference;
+import org.bergamotcross.core.membership.FailureDomain;
+import org.bergamotcross.core.membership.InstanceId;
+import org.bergamotcross.core.membership.Member;
+import org.bergamotcross.core.membership.Members;
+import org.bergamotcross.entry.Broadcasts;
+import org.bergamotcross.entry.Broadcasts.Freshness;
+import org.bergamotcross.entry.CatalogSource;
+import org.bergamotcross.entry.EntrySettings;
+import org.bergamotcross.entry.PeerExchange;
+import org.bergamotcross.entry.StatusSource;
+import org.bergamotcross.kernel.Plugin;
+import org.bergamotcross.kernel.PluginContext;
+import org.bergamotcross.kernel.Ring;
+import org.bergamotcross.kernel.Setting;
+import org.bergamotcross.kernel.Settings;
+import org.bergamotcross.kernel.Topic;
+
+/**
+ * Runs the catalog duty in place of the duties that follow the fleet's own log and probe targets.
+ *
+ * <p>It is registered by the plug-in that provides a {@link CatalogSource}, not by this module.
+ */
+public final class CatalogPlugin implements Plugin {
+  private static final Topic<CatalogInput> CATALOG = new Topic<>("catalog");
+
+  // Completions of own reads are few; news of peers may come in a burst after a pause.
+  private static final int RING_CAPACITY = 4_096;
+
+  private final AtomicReference<StatusSource.Status> status = new AtomicReference<>();
+  private Ring<CatalogInput> ring;
+
+  /** Creates the plug-in; the kernel does it. */
+  public CatalogPlugin() {}
+
+  @Override
+  public String name() {
+    return "catalog";
+  }
+
+  @Override
+  public Set<String> replaces() {
+    return Set.of("config", "health");
+  }
+
+  @Override
+  public List<Setting<?>> settings() {
+    return List.of(EntrySettings.INSTANCE_ID, EntrySettings.FAILURE_DOMAIN, EntrySettings.PEERS);
+  }
+
+  @Override
+  public void configure(PluginContext context) {
+    ring = context.open(CATALOG, RING_CAPACITY);
+    show(context, 0, new CatalogStatus(-1, -1, never(context)));
+    context.provide(StatusSource.class, status::get);
+    context.subscribe(
+        Broadcasts.PEERS, view -> ring.offerReserved(new CatalogInput.PeersChanged(view)));
+  }
+
+  @Override
+  public void start(PluginContext context) {
+    PeerExchange exchange = required(context, PeerExchange.class);
+    CatalogSource source = required(context, CatalogSource.class);
+    exchange.handle(
+        CatalogMessages.NEWS,
+        CatalogMessages.News.class,
+        (from, message) -> ring.offer(new CatalogInput.News(from.id(), message)));
+    exchange.handle(
+        CatalogMessages.ASK,
+        CatalogMessages.Ask.class,
+        (from, message) -> ring.offer(new CatalogInput.Ask(from.id(), message)));
+    exchange.handle(
+        CatalogMessages.STATE,
+        CatalogMessages.State.class,
+        (from, message) -> ring.offer(new CatalogInput.State(from.id(), message)));
+    context.startDuty(
+        CATALOG,
+        new CatalogDuty(
+            self(context.settings(), exchange.incarnation()),
+            source,
+            exchange,
+            context,
+            ring::offerReserved,
+            shown -> show(context, exchange.incarnation(), shown)));
+  }
+
+  private void show(PluginContext context, long incarnation, CatalogStatus shown) {
+    status.set(
+        new StatusSource.Status(
+            new InstanceId(context.settings().value(EntrySettings.INSTANCE_ID)),
+            incarnation,
+            shown.revision(),
+            false,
+            shown.version() < 0 ? Map.of() : Map.of(CatalogDuty.TEAM, shown.version()),
+            Members.NONE,
+            shown.freshness(),
+            Map.of()));
+  }
+
+  private static Freshness never(PluginContext context) {
+    return new Freshness(context.time().now(), Freshness.Source.NONE);
+  }
+
+  private static Member self(Settings settings, long incarnation) {
+    InetSocketAddress peers = settings.value(EntrySettings.PEERS);
+    return new Member(
+        new InstanceId(settings.value(EntrySettings.INSTANCE_ID)),
+        incarnation,
+        new FailureDomain(settings.value(EntrySettings.FAILURE_DOMAIN)),
+        peers.getHostString() + ":" + peers.getPort());
+  }
+
+  private static <T> T required(PluginContext context, Class<T> type) {
+    return context
+        .service(type)
+        .orElseThrow(() -> new IllegalStateException("no plug-in provides " + type.getName()));
+  }
+}
--- a/entry/src/main/java/org/bergamotcross/entry/duties/AdmissionDuty.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/AdmissionDuty.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.BiConsumer;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
 import org.bergamotcross.core.admission.ClaimAnswer;
 import org.bergamotcross.core.admission.ClaimAsk;
 import org.bergamotcross.core.admission.ClaimCoordinator;
@@ -15,15 +17,19 @@
 import org.bergamotcross.core.admission.ClaimSyncAnswer;
 import org.bergamotcross.core.admission.OffsetQuorum;
 import org.bergamotcross.core.admission.Outcome;
+import org.bergamotcross.core.admission.OwnedRates;
 import org.bergamotcross.core.admission.PeerMessage;
 import org.bergamotcross.core.admission.RateAdmission;
+import org.bergamotcross.core.admission.RateControl;
 import org.bergamotcross.core.admission.RateDecision;
 import org.bergamotcross.core.admission.RateStep;
 import org.bergamotcross.core.admission.Refusal;
 import org.bergamotcross.core.admission.RequestCheck;
 import org.bergamotcross.core.admission.StoredAnswer;
 import org.bergamotcross.core.config.Configuration;
+import org.bergamotcross.core.config.Key;
 import org.bergamotcross.core.config.Organisation;
+import org.bergamotcross.core.config.OrganisationId;
 import org.bergamotcross.core.membership.InstanceId;
 import org.bergamotcross.entry.AdmissionInput;
 import org.bergamotcross.entry.AdmittedRequest;
@@ -43,7 +49,7 @@
   private static final long MAX_ANSWER_BYTES = 64L << 20;
 
   // Each wake-up of an idle process costs processor time that counts as control.
-  private static final Duration IDLE_TICK = Duration.ofMillis(100);
+  private static final Duration IDLE_TICK = Duration.ofMillis(250);
 
   // The longest request, after whose end a claim that routing did not report is forgotten.
   private static final Duration CLAIM_REPORT_LIMIT = Duration.ofSeconds(60);
@@ -55,8 +61,15 @@
    * @param incarnation the incarnation of this process
    * @param maxTimeout the longest time for a request on this instance
    * @param waitCapacity the number of requests that wait for tokens at most
+   * @param ratesHaveOwners whether one instance owns the rate of an organisation; otherwise several
+   *     members of the log's epoch hold parts of it
    */
-  record Options(InstanceId self, long incarnation, Duration maxTimeout, int waitCapacity) {}
+  record Options(
+      InstanceId self,
+      long incarnation,
+      Duration maxTimeout,
+      int waitCapacity,
+      boolean ratesHaveOwners) {}
 
   private final Options options;
   private final MissedConfiguration missed;
@@ -64,7 +77,8 @@
   private final Ring<RoutingInput> routing;
   private final AdmissionReports reports;
   private final OffsetQuorum quorum;
-  private final RateAdmission rates;
+  private final RateControl rates;
+  private final UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
   private final ClaimHolder claims;
   private final PendingTable pending = new PendingTable();
   private final IdentityHashMap<RequestHandle, ClaimCoordinator> sent = new IdentityHashMap<>();
@@ -86,7 +100,10 @@
     this.reports = reports;
     this.quorum = new OffsetQuorum(options.self());
     this.rates =
-        new RateAdmission(options.self(), options.incarnation(), quorum, options.waitCapacity());
+        options.ratesHaveOwners()
+            ? new OwnedRates(options.self(), options.waitCapacity())
+            : new RateAdmission(
+                options.self(), options.incarnation(), quorum, options.waitCapacity());
     this.claims =
         new ClaimHolder(
             options.self(), options.incarnation(), quorum, MAX_CLAIMS, MAX_ANSWER_BYTES);
@@ -131,6 +148,13 @@
       case AdmissionEvent.Configured configured -> configure(configured.configuration(), now);
       case AdmissionEvent.Confirmed confirmed -> confirm(confirmed.freshness());
       case AdmissionEvent.PeerHeard heard -> quorum.heard(heard.peer(), heard.offset());
+      case AdmissionEvent.PeersChanged changed -> {
+        switch (rates) {
+          case OwnedRates owned -> owned.peers(changed.view(), now);
+          // Its holders are the members of the log's epoch, heard or not.
+          case RateAdmission ignored -> {}
+        }
+      }
       case AdmissionEvent.FromPeer peer -> onPeer(peer.from(), peer.message(), now);
       case AdmissionEvent.Stop stop -> {
         stopLimit = Optional.of(stop.limit());
@@ -147,8 +171,8 @@
     quorum.configure(next);
     rates.configure(next, now);
     claims.configure(next, now);
-    pending
-        .matching(request -> next.key(request.request().key()).isEmpty())
+    pending.matching(request -> request.request().key().flatMap(next::key).isEmpty()).stream()
+        .filter(request -> request.request().key().isPresent())
         .forEach(request -> refuse(request, new Refusal.WithdrawnKey(), now));
   }
 
@@ -189,6 +213,7 @@
     RequestCheck.Facts facts =
         new RequestCheck.Facts(
             request.method(),
+            request.host(),
             request.path(),
             request.keys(),
             request.timeout(),
@@ -203,25 +228,35 @@
   }
 
   private void passed(CallerRequest request, RequestCheck.Result.Passed passed, Now now) {
-    boolean claimed = !passed.idempotent() && request.idempotencyKey().isPresent();
+    Optional<OrganisationId> caller = passed.key().map(Key::organisation);
+    Optional<Organisation> organisation = caller.flatMap(configuration::organisation);
+    boolean claimed =
+        caller.isPresent() && !passed.idempotent() && request.idempotencyKey().isPresent();
     PendingRequest waiting =
         new PendingRequest(
             options.incarnation() + "-" + arrived++,
             new AdmittedRequest(
                 request,
-                passed.organisation(),
-                passed.key(),
+                caller,
+                passed.key().map(Key::hash),
+                passed.route().pool(random.nextDouble()),
+                organisation
+                    .flatMap(Organisation::priority)
+                    .orElse(passed.route().limits().priority()),
                 passed.route(),
                 passed.idempotent(),
                 claimed,
                 passed.deadline()),
             now);
-    Optional<Organisation> organisation = configuration.organisation(passed.organisation());
-    if (organisation.isEmpty()) {
+    if (caller.isPresent() && organisation.isEmpty()) {
       refuse(waiting, new Refusal.UnknownKey(), now);
       return;
     }
     pending.add(waiting);
+    if (organisation.isEmpty()) {
+      forward(waiting, now);
+      return;
+    }
     RateDecision decision =
         rates.arrive(waiting.uniqueId(), organisation.get(), passed.deadline(), now);
     if (decision instanceof RateDecision.Waiting) {
@@ -250,7 +285,7 @@
     ClaimCoordinator coordinator =
         new ClaimCoordinator(
             attempt(request),
-            admitted.organisation(),
+            admitted.organisation().orElseThrow(),
             claimKey(admitted.request()),
             admitted.deadline(),
             now);
@@ -325,7 +360,7 @@
 
   private void refuse(PendingRequest request, Refusal refusal, Now now) {
     AdmittedRequest admitted = request.request();
-    reports.refused(admitted.request().id(), Optional.of(admitted.organisation()), refusal);
+    reports.refused(admitted.request().id(), admitted.organisation(), refusal);
     release(request, now);
     admitted.request().handle().refuse(refusal);
   }
--- a/entry/src/main/java/org/bergamotcross/entry/duties/AdmissionEvent.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/AdmissionEvent.java
@@ -2,6 +2,7 @@
 
 import org.bergamotcross.core.config.Configuration;
 import org.bergamotcross.core.membership.InstanceId;
+import org.bergamotcross.core.membership.PeerView;
 import org.bergamotcross.entry.AdmissionInput;
 import org.bergamotcross.entry.Broadcasts.Freshness;
 import org.bergamotcross.kernel.Now;
@@ -31,6 +32,13 @@
    */
   record PeerHeard(InstanceId peer, long offset) implements AdmissionEvent {}
 
+  /**
+   * Other peers are heard than before.
+   *
+   * @param view the peers
+   */
+  record PeersChanged(PeerView view) implements AdmissionEvent {}
+
   /**
    * A peer sent a message about rates or claims.
    *
--- a/entry/src/main/java/org/bergamotcross/entry/duties/AdmissionKinds.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/AdmissionKinds.java
@@ -2,6 +2,8 @@
 
 import java.util.Map;
 import java.util.function.BiConsumer;
+import org.bergamotcross.core.admission.BucketAsk;
+import org.bergamotcross.core.admission.BucketGrant;
 import org.bergamotcross.core.admission.ClaimAnswer;
 import org.bergamotcross.core.admission.ClaimAsk;
 import org.bergamotcross.core.admission.ClaimOutcome;
@@ -24,7 +26,9 @@
           ClaimAnswer.class, "claim-answer",
           ClaimOutcome.class, "claim-outcome",
           ClaimSync.class, "claim-sync",
-          ClaimSyncAnswer.class, "claim-sync-answer");
+          ClaimSyncAnswer.class, "claim-sync-answer",
+          BucketAsk.class, "bucket-ask",
+          BucketGrant.class, "bucket-grant");
 
   private AdmissionKinds() {}
 
--- a/entry/src/main/java/org/bergamotcross/entry/duties/AdmissionPlugin.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/AdmissionPlugin.java
@@ -32,7 +32,8 @@
         EntrySettings.INSTANCE_ID,
         EntrySettings.RING_CAPACITY,
         EntrySettings.QUEUE_CAPACITY,
-        EntrySettings.MAX_TIMEOUT_MS);
+        EntrySettings.MAX_TIMEOUT_MS,
+        EntrySettings.RATE_SHARING);
   }
 
   @Override
@@ -52,6 +53,8 @@
     context.subscribe(
         Broadcasts.PEER_ECHO,
         echo -> ring.offer(new AdmissionEvent.PeerHeard(echo.peer().id(), echo.offset())));
+    context.subscribe(
+        Broadcasts.PEERS, view -> ring.offerReserved(new AdmissionEvent.PeersChanged(view)));
     context.subscribe(
         Broadcasts.STOPPING,
         stopping -> ring.offerReserved(new AdmissionEvent.Stop(stopping.limit())));
@@ -77,7 +80,8 @@
             new InstanceId(context.settings().value(EntrySettings.INSTANCE_ID)),
             exchange.map(PeerExchange::incarnation).orElse(0L),
             Duration.ofMillis(context.settings().value(EntrySettings.MAX_TIMEOUT_MS)),
-            context.settings().value(EntrySettings.QUEUE_CAPACITY));
+            context.settings().value(EntrySettings.QUEUE_CAPACITY),
+            context.settings().value(EntrySettings.RATE_SHARING).equals("owner"));
     context.<AdmissionInput>startDuty(
         Topics.ADMISSION,
         new AdmissionDuty(options, missed, network, routing, new AdmissionReports(context)));
--- a/entry/src/main/java/org/bergamotcross/entry/duties/AdmissionReports.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/AdmissionReports.java
@@ -33,11 +33,20 @@
     admitted.mark();
     waited.update(now.since(pending.since()));
     event("admission.admitted", pending.request())
-        .with("reason", pending.claim().isPresent() ? "token-and-claim" : "token")
+        .with("route", pending.request().route().name())
+        .with("pool", pending.request().pool())
+        .with("reason", reason(pending))
         .with("waited-us", now.since(pending.since()).toNanos() / 1_000)
         .emit();
   }
 
+  private static String reason(PendingRequest pending) {
+    if (pending.request().organisation().isEmpty()) {
+      return "no-key-needed";
+    }
+    return pending.claim().isPresent() ? "token-and-claim" : "token";
+  }
+
   void refused(String requestId, Optional<OrganisationId> organisation, Refusal refusal) {
     refused.mark();
     EventLog.Event event =
--- a/entry/src/main/java/org/bergamotcross/entry/duties/InHand.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/InHand.java
@@ -61,6 +61,7 @@
   private int attempts;
   private boolean mayHaveRun;
   private boolean claimReported;
+  private boolean stallNoted;
 
   /**
    * Takes a request in hand.
@@ -109,6 +110,7 @@
   void startAttempt(TargetId target) {
     previous = Optional.of(target);
     attempts++;
+    stallNoted = false;
   }
 
   /** Tells whether an attempt that ended may have run, so that "not run" would be false. */
@@ -120,6 +122,17 @@
     mayHaveRun = true;
   }
 
+  boolean isStallNoted() {
+    return stallNoted;
+  }
+
+  /** Notes that the present attempt counts as stalled; true the first time. */
+  boolean noteStall() {
+    boolean first = !stallNoted;
+    stallNoted = true;
+    return first;
+  }
+
   /** Tells whether admission still has to be told the end of the claim; true at most once. */
   boolean takeClaimReport() {
     boolean due = admitted.claimed() && !claimReported;
--- a/entry/src/main/java/org/bergamotcross/entry/duties/RequestTable.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/RequestTable.java
@@ -1,6 +1,7 @@
 package org.bergamotcross.entry.duties;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.IdentityHashMap;
 import java.util.List;
@@ -8,6 +9,8 @@
 import java.util.Optional;
 import java.util.TreeSet;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
+import org.bergamotcross.core.config.OrganisationId;
 import org.bergamotcross.core.config.PoolId;
 import org.bergamotcross.core.routing.WaitQueue;
 import org.bergamotcross.entry.AdmittedRequest;
@@ -16,6 +19,9 @@
 
 /** All requests in hand, and the queue of each pool; used by the routing thread alone. */
 final class RequestTable {
+  // Requests of routes without keys share one part of the queue.
+  private static final OrganisationId NO_ORGANISATION = new OrganisationId("");
+
   private final int queueCapacity;
   private final IdentityHashMap<RequestHandle, InHand> byHandle = new IdentityHashMap<>();
   private final TreeSet<InHand> byDeadline = new TreeSet<>(InHand.BY_DEADLINE);
@@ -62,7 +68,8 @@
         queues.computeIfAbsent(pool(request), pool -> new WaitQueue<>(queueCapacity));
     return queue.offer(
             request.uniqueId(),
-            request.admitted().organisation(),
+            request.admitted().organisation().orElse(NO_ORGANISATION),
+            request.admitted().priority(),
             request.admitted().deadline(),
             request)
         instanceof WaitQueue.Entry.Waiting;
@@ -121,11 +128,29 @@
         .toList();
   }
 
+  /** Returns the next time at which a deadline or the end of a back-off comes. */
+  Optional<Now> nextDue() {
+    Optional<Now> deadline =
+        byDeadline.isEmpty()
+            ? Optional.empty()
+            : Optional.of(byDeadline.first().admitted().deadline());
+    return Stream.concat(
+            deadline.stream(),
+            backingOff.stream()
+                .map(InHand::stage)
+                .flatMap(
+                    stage ->
+                        stage instanceof InHand.Stage.BackingOff b
+                            ? Stream.of(b.until())
+                            : Stream.empty()))
+        .min(Comparator.naturalOrder());
+  }
+
   List<InHand> all() {
     return List.copyOf(byDeadline);
   }
 
   private static PoolId pool(InHand request) {
-    return request.admitted().route().pool();
+    return request.admitted().pool();
   }
 }
--- a/entry/src/main/java/org/bergamotcross/entry/duties/RoutingDuty.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/RoutingDuty.java
@@ -1,9 +1,13 @@
 package org.bergamotcross.entry.duties;
 
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.bergamotcross.core.admission.Outcome;
@@ -11,8 +15,10 @@
 import org.bergamotcross.core.config.Configuration;
 import org.bergamotcross.core.config.Pool;
 import org.bergamotcross.core.config.PoolId;
+import org.bergamotcross.core.config.Target;
 import org.bergamotcross.core.membership.FailureDomain;
 import org.bergamotcross.core.routing.Choice;
+import org.bergamotcross.core.routing.FailureRisk;
 import org.bergamotcross.core.routing.HealthView;
 import org.bergamotcross.core.routing.InFlightCounts;
 import org.bergamotcross.core.routing.RetryDecision;
@@ -20,6 +26,7 @@
 import org.bergamotcross.core.routing.SendResult;
 import org.bergamotcross.core.routing.TargetChooser;
 import org.bergamotcross.core.routing.TargetStatus;
+import org.bergamotcross.core.routing.UsualDuration;
 import org.bergamotcross.entry.AdmittedRequest;
 import org.bergamotcross.entry.EntrySettings;
 import org.bergamotcross.entry.RoutingInput;
@@ -32,12 +39,14 @@
 
 /** Brings each admitted request to a target and to its end; runs on the routing thread. */
 final class RoutingDuty implements DutyHandler<RoutingInput> {
-  // The precision of deadlines and of the end of a back-off.
-  private static final Duration TICK = Duration.ofMillis(5);
+  // A shed target is free again after 100 ms, and a slot of a peer's request at any time.
+  private static final Duration QUEUE_TICK = Duration.ofMillis(10);
+  private static final Duration LEAST_TICK = Duration.ofMillis(1);
   // Each wake-up of an idle process costs processor time that counts as control.
   private static final Duration IDLE_TICK = Duration.ofMillis(250);
   // An attempt has two events under way at most, and half of the ring is reserved for events.
   private static final int RING_MESSAGES_PER_ATTEMPT = 4;
+  private static final int FIRST_SERVER_ERROR = 500;
 
   private final TargetSender sender;
   private final RoutingView view;
@@ -47,6 +56,9 @@
   private final int maxSent;
   private final InFlightCounts counts = new InFlightCounts();
   private final TargetChooser chooser;
+  private final FailureRisk risks = new FailureRisk();
+  private final OutcomeSharing outcomes;
+  private final UsualDuration usual = new UsualDuration();
   private final RetryPolicy retries;
   private Configuration known = Configuration.EMPTY;
   private HealthView knownHealth = new HealthView(Map.of());
@@ -54,7 +66,11 @@
   private long attempts;
 
   RoutingDuty(
-      PluginContext context, Ring<RoutingInput> ring, TargetSender sender, RoutingView view) {
+      PluginContext context,
+      Ring<RoutingInput> ring,
+      TargetSender sender,
+      RoutingView view,
+      Consumer<OutcomeMessage> peers) {
     this.sender = sender;
     this.view = view;
     this.ring = ring;
@@ -64,8 +80,14 @@
         context.settings().value(EntrySettings.RING_CAPACITY) / RING_MESSAGES_PER_ATTEMPT;
     UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
     FailureDomain own = new FailureDomain(context.settings().value(EntrySettings.FAILURE_DOMAIN));
-    this.chooser = new TargetChooser(own, counts, random);
-    this.retries = new RetryPolicy(random);
+    this.outcomes = new OutcomeSharing(risks, peers, context.time().now());
+    this.chooser = new TargetChooser(own, counts, risks, random);
+    this.retries =
+        new RetryPolicy(
+            random,
+            new RetryPolicy.Limits(
+                context.settings().value(EntrySettings.RETRY_SHARE),
+                context.settings().value(EntrySettings.RETRY_FLEET_RESERVE)));
   }
 
   @Override
@@ -84,11 +106,38 @@
       table.all().forEach(request -> cut(request, now));
     }
     table.expired(now).forEach(request -> expire(request, now));
-    refuseWithdrawnKeys();
+    followConfiguration(now);
     leaveAvoidedTargets(now);
+    leaveStalledTargets(now);
     table.takeDue(now).forEach(request -> dispatch(request, now));
     table.waitingPools().forEach(pool -> serve(pool, now));
-    return table.isEmpty() ? IDLE_TICK : TICK;
+    outcomes.tick(now);
+    return untilNextTick(now);
+  }
+
+  private Duration untilNextTick(Now now) {
+    if (!table.waitingPools().isEmpty()) {
+      return QUEUE_TICK;
+    }
+    Duration wait =
+        Stream.concat(table.nextDue().stream(), nextStall().stream())
+            .min(Comparator.naturalOrder())
+            .map(due -> due.since(now))
+            .filter(due -> due.compareTo(IDLE_TICK) < 0)
+            .orElse(IDLE_TICK);
+    return wait.compareTo(LEAST_TICK) < 0 ? LEAST_TICK : wait;
+  }
+
+  private Optional<Now> nextStall() {
+    return table.all().stream()
+        .filter(request -> !request.isStallNoted())
+        .flatMap(
+            request ->
+                request.stage() instanceof InHand.Stage.Sent sent
+                    ? Stream.of(
+                        sent.startedAt().plus(usual.threshold(request.admitted().route().name())))
+                    : Stream.empty())
+        .min(Comparator.naturalOrder());
   }
 
   private void onInternal(RoutingInput.Internal internal, Now now) {
@@ -97,13 +146,15 @@
         case RoutingEvent.Sending sending -> onSending(sending, now);
         case RoutingEvent.PeerReported reported ->
             counts.reported(reported.report().peer(), reported.report().averages(), now);
+        case RoutingEvent.PeerOutcomes told -> outcomes.reported(told.outcomes(), now);
+        case RoutingEvent.PeersChanged changed -> retries.instances(changed.view().known() + 1);
       }
     }
   }
 
   private void accept(AdmittedRequest admitted, Now now) {
     InHand request = table.add(admitted);
-    retries.onRequest(admitted.route().pool());
+    retries.onRequest(admitted.pool());
     if (!sender.isAwaited(admitted)) {
       abandon(request, now);
       return;
@@ -113,13 +164,13 @@
 
   /** Sends a request or puts it into the queue; those that wait already go first. */
   private void dispatch(InHand request, Now now) {
-    PoolId pool = request.admitted().route().pool();
+    PoolId pool = request.admitted().pool();
     if (table.next(pool).isPresent() || !sendOrRefuse(request, now)) {
       if (table.enqueue(request)) {
         reports.queued(request);
         serve(pool, now);
       } else {
-        refuse(request, new Refusal.Overloaded("the queue of pool " + pool));
+        refuse(request, new Refusal.Overloaded("the queue of pool " + pool), now);
       }
     }
   }
@@ -135,13 +186,13 @@
   private boolean sendOrRefuse(InHand request, Now now) {
     Optional<Refusal> refusal = refusalBeforeSend(request, now);
     if (refusal.isPresent()) {
-      refuse(request, refusal.get());
+      refuse(request, refusal.get(), now);
       return true;
     }
     if (sentNow >= maxSent) {
       return false;
     }
-    PoolId id = request.admitted().route().pool();
+    PoolId id = request.admitted().pool();
     Optional<Pool> pool = view.configuration().get().pool(id);
     Choice choice = pool.map(p -> choose(request, p, now)).orElseGet(Choice.NoneInUse::new);
     return switch (choice) {
@@ -151,7 +202,7 @@
       }
       case Choice.Busy ignored -> false;
       case Choice.NoneInUse ignored -> {
-        refuse(request, new Refusal.NoTarget(id.value()));
+        refuse(request, new Refusal.NoTarget(id.value()), now);
         yield true;
       }
     };
@@ -172,7 +223,7 @@
     if (!now.isBefore(admitted.deadline())) {
       return Optional.of(new Refusal.DeadlineBeforeSend());
     }
-    if (view.configuration().get().key(admitted.key()).isEmpty()) {
+    if (isWithdrawn(admitted, view.configuration().get())) {
       return Optional.of(new Refusal.WithdrawnKey());
     }
     return view.isFresh(now) ? Optional.empty() : Optional.of(new Refusal.StaleConfiguration());
@@ -195,7 +246,7 @@
             event -> ring.offerReserved(new RoutingEvent.Sending(request, attempt, event)));
     InHand.Stage.Sent sent = new InHand.Stage.Sent(attempt, choice.target(), sending, now);
     request.enter(sent);
-    reports.chosen(request, sent, choice);
+    reports.chosen(request, sent, choice, risks.risk(choice.target().id(), now));
   }
 
   private void onSending(RoutingEvent.Sending message, Now now) {
@@ -214,18 +265,23 @@
   private void onSent(InHand request, InHand.Stage.Sent sent, SendEvent event, Now now) {
     switch (event) {
       case SendEvent.Head head -> onHead(request, sent, head, now);
-      case SendEvent.ConnectFailed ignored ->
-          onFailure(request, sent, new SendResult.ConnectFailed(), now);
+      case SendEvent.ConnectFailed ignored -> {
+        outcomes.failed(sent.target().id(), now);
+        onFailure(request, sent, new SendResult.ConnectFailed(), now);
+      }
       case SendEvent.Shed shed -> {
         chooser.shed(sent.target().id(), shed.retryAfter(), now);
         onFailure(request, sent, new SendResult.Shed(shed.retryAfter(), shed.draining()), now);
       }
-      case SendEvent.Broken ignored -> onFailure(request, sent, new SendResult.Broken(), now);
+      case SendEvent.Broken ignored -> {
+        outcomes.failed(sent.target().id(), now);
+        onFailure(request, sent, new SendResult.Broken(), now);
+      }
       // No head came before, so that there is nothing to give to the caller.
       case SendEvent.Completed ignored -> onFailure(request, sent, new SendResult.Broken(), now);
       case SendEvent.BodyTooLarge tooLarge -> {
         endAttempt(request, sent, new SendResult.Cancelled(), now);
-        refuse(request, new Refusal.BodyTooLarge(tooLarge.limitBytes(), Outcome.UNKNOWN));
+        refuse(request, new Refusal.BodyTooLarge(tooLarge.limitBytes(), Outcome.UNKNOWN), now);
       }
       case SendEvent.CallerLeft ignored -> abandon(request, now);
     }
@@ -233,6 +289,7 @@
 
   private void onHead(InHand request, InHand.Stage.Sent sent, SendEvent.Head head, Now now) {
     SendResult.Completed result = new SendResult.Completed(head.status(), head.draining());
+    noteAnswer(request, sent, head.status(), now);
     switch (decide(request, sent, result, now)) {
       case RetryDecision.Retry retry -> {
         sent.sending().cancel();
@@ -245,6 +302,15 @@
     }
   }
 
+  private void noteAnswer(InHand request, InHand.Stage.Sent sent, int status, Now now) {
+    if (status >= FIRST_SERVER_ERROR) {
+      outcomes.failed(sent.target().id(), now);
+    } else {
+      outcomes.succeeded(sent.target().id(), now);
+      usual.answered(request.admitted().route().name(), now.since(sent.startedAt()));
+    }
+  }
+
   private void deliver(
       InHand request,
       InHand.Stage.Sent sent,
@@ -288,9 +354,9 @@
     endAttempt(request, sent, result, now);
     switch (decision) {
       case RetryDecision.Retry retry -> backOff(request, result, retry.delay(), now);
-      case RetryDecision.GiveUp giveUp -> refuse(request, giveUp.refusal());
+      case RetryDecision.GiveUp giveUp -> refuse(request, giveUp.refusal(), now);
       case RetryDecision.Deliver ignored ->
-          refuse(request, new Refusal.TargetFailed(sent.target().id().value()));
+          refuse(request, new Refusal.TargetFailed(sent.target().id().value()), now);
       case RetryDecision.Drop ignored -> abandon(request, now);
     }
   }
@@ -299,16 +365,26 @@
     AdmittedRequest admitted = request.admitted();
     return retries.decide(
         new RetryPolicy.Attempt(
-            admitted.route().pool(),
+            admitted.pool(),
             sent.target().id(),
             request.attempts(),
-            admitted.idempotent() && sender.isRepeatable(admitted),
+            admitted.route().limits().maxAttempts(),
+            repetition(admitted),
             request.mayHaveRun(),
             admitted.deadline()),
         result,
         now);
   }
 
+  private RetryPolicy.Repetition repetition(AdmittedRequest admitted) {
+    if (!sender.isRepeatable(admitted)) {
+      return RetryPolicy.Repetition.BODY_SPENT;
+    }
+    return admitted.idempotent()
+        ? RetryPolicy.Repetition.FREE
+        : RetryPolicy.Repetition.ONLY_IF_NOT_RUN;
+  }
+
   private void backOff(InHand request, SendResult result, Duration delay, Now now) {
     reports.retried(request, result, delay);
     table.backOff(request, now.plus(delay));
@@ -327,7 +403,7 @@
     }
     request.enter(new InHand.Stage.Waiting());
     reports.ended(request, sent, result, timeToHead);
-    serve(request.admitted().route().pool(), now);
+    serve(request.admitted().pool(), now);
   }
 
   /** Sends idempotent requests again that are still open at a target that is now avoided. */
@@ -350,17 +426,37 @@
     }
   }
 
+  /** Notes attempts that last longer than usual, and sends those that may be repeated elsewhere. */
+  private void leaveStalledTargets(Now now) {
+    for (InHand request : List.copyOf(table.all())) {
+      if (request.stage() instanceof InHand.Stage.Sent sent
+          && usual.isStalled(request.admitted().route().name(), sent.startedAt(), now)
+          && request.noteStall()) {
+        reports.stalled(request, sent, now);
+        outcomes.failed(sent.target().id(), now);
+        if (request.admitted().idempotent()
+            && decide(request, sent, new SendResult.Broken(), now)
+                instanceof RetryDecision.Retry retry) {
+          sent.sending().cancel();
+          endAttempt(request, sent, new SendResult.TimedOut(), now);
+          backOff(request, new SendResult.TimedOut(), retry.delay(), now);
+        }
+      }
+    }
+  }
+
   private void expire(InHand request, Now now) {
     switch (request.stage()) {
       case InHand.Stage.Sent sent -> {
         sent.sending().cancel();
         endAttempt(request, sent, new SendResult.TimedOut(), now);
-        refuse(request, new Refusal.DeadlineAfterSend(sent.target().id().value()));
+        refuse(request, new Refusal.DeadlineAfterSend(sent.target().id().value()), now);
       }
       case InHand.Stage.Delivering delivering -> cutResponse(request, delivering, now);
       case InHand.Stage.Ended ignored -> {}
-      case InHand.Stage.Waiting ignored -> refuse(request, new Refusal.DeadlineBeforeSend());
-      case InHand.Stage.BackingOff ignored -> refuse(request, new Refusal.DeadlineBeforeSend());
+      case InHand.Stage.Waiting ignored -> refuse(request, new Refusal.DeadlineBeforeSend(), now);
+      case InHand.Stage.BackingOff ignored ->
+          refuse(request, new Refusal.DeadlineBeforeSend(), now);
     }
   }
 
@@ -370,12 +466,12 @@
       case InHand.Stage.Sent sent -> {
         sent.sending().cancel();
         endAttempt(request, sent, new SendResult.Cancelled(), now);
-        refuse(request, new Refusal.TargetFailed(sent.target().id().value()));
+        refuse(request, new Refusal.TargetFailed(sent.target().id().value()), now);
       }
       case InHand.Stage.Delivering delivering -> cutResponse(request, delivering, now);
       case InHand.Stage.Ended ignored -> {}
-      case InHand.Stage.Waiting ignored -> refuse(request, new Refusal.Stopping());
-      case InHand.Stage.BackingOff ignored -> refuse(request, new Refusal.Stopping());
+      case InHand.Stage.Waiting ignored -> refuse(request, new Refusal.Stopping(), now);
+      case InHand.Stage.BackingOff ignored -> refuse(request, new Refusal.Stopping(), now);
     }
   }
 
@@ -402,22 +498,32 @@
     finish(request, "caller-gone", request.mayHaveRun() ? Outcome.UNKNOWN : Outcome.NOT_RUN, now);
   }
 
-  private void refuseWithdrawnKeys() {
+  private static boolean isWithdrawn(AdmittedRequest admitted, Configuration configuration) {
+    return admitted.key().filter(key -> configuration.key(key).isEmpty()).isPresent();
+  }
+
+  private void followConfiguration(Now now) {
     Configuration present = view.configuration().get();
     if (present == known) {
       return;
     }
     known = present;
     retries.retain(present.pools().stream().map(Pool::id).toList());
+    risks.retain(
+        present.pools().stream()
+            .flatMap(pool -> pool.targets().stream())
+            .map(Target::id)
+            .collect(Collectors.toSet()));
     table
-        .unsent(request -> present.key(request.admitted().key()).isEmpty())
-        .forEach(request -> refuse(request, new Refusal.WithdrawnKey()));
+        .unsent(request -> isWithdrawn(request.admitted(), present))
+        .forEach(request -> refuse(request, new Refusal.WithdrawnKey(), now));
   }
 
   /** Refuses a request; one that an earlier attempt may have run is never called "not run". */
-  private void refuse(InHand request, Refusal refusal) {
+  private void refuse(InHand request, Refusal refusal, Now now) {
     Refusal told = request.mayHaveRun() ? afterSend(request, refusal) : refusal;
     table.remove(request);
+    reports.refused(request, told, now);
     reports.claimEnded(request, told.outcome(), Optional.empty());
     request.admitted().request().handle().refuse(told);
   }
--- a/entry/src/main/java/org/bergamotcross/entry/duties/RoutingEvent.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/RoutingEvent.java
@@ -1,5 +1,6 @@
 package org.bergamotcross.entry.duties;
 
+import org.bergamotcross.core.membership.PeerView;
 import org.bergamotcross.entry.Broadcasts;
 import org.bergamotcross.entry.RoutingInput;
 import org.bergamotcross.entry.SendEvent;
@@ -16,6 +17,20 @@
    */
   record Sending(InHand request, String attempt, SendEvent event) implements RoutingEvent {}
 
+  /**
+   * A peer told how its requests ended.
+   *
+   * @param outcomes what it told
+   */
+  record PeerOutcomes(OutcomeMessage outcomes) implements RoutingEvent {}
+
+  /**
+   * Other peers are heard than before.
+   *
+   * @param view the peers
+   */
+  record PeersChanged(PeerView view) implements RoutingEvent {}
+
   /**
    * A peer told its requests in flight.
    *
--- a/entry/src/main/java/org/bergamotcross/entry/duties/RoutingPlugin.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/RoutingPlugin.java
@@ -4,10 +4,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 import org.bergamotcross.core.config.Configuration;
 import org.bergamotcross.core.routing.HealthView;
 import org.bergamotcross.entry.Broadcasts;
 import org.bergamotcross.entry.EntrySettings;
+import org.bergamotcross.entry.PeerExchange;
 import org.bergamotcross.entry.RoutingInput;
 import org.bergamotcross.entry.TargetSender;
 import org.bergamotcross.entry.Topics;
@@ -34,7 +36,11 @@
   @Override
   public List<Setting<?>> settings() {
     return List.of(
-        EntrySettings.FAILURE_DOMAIN, EntrySettings.RING_CAPACITY, EntrySettings.QUEUE_CAPACITY);
+        EntrySettings.FAILURE_DOMAIN,
+        EntrySettings.RING_CAPACITY,
+        EntrySettings.QUEUE_CAPACITY,
+        EntrySettings.RETRY_SHARE,
+        EntrySettings.RETRY_FLEET_RESERVE);
   }
 
   @Override
@@ -44,6 +50,8 @@
     // A report that finds no room is replaced by the next one.
     context.subscribe(
         Broadcasts.PEER_IN_FLIGHT, report -> ring.offer(new RoutingEvent.PeerReported(report)));
+    context.subscribe(
+        Broadcasts.PEERS, view -> ring.offerReserved(new RoutingEvent.PeersChanged(view)));
     context.subscribe(Broadcasts.CONFIGURATION, configuration::set);
     context.subscribe(Broadcasts.HEALTH, health::set);
     context.subscribe(Broadcasts.FRESHNESS, f -> freshUntil.set(Optional.of(f.validUntil())));
@@ -62,6 +70,15 @@
         context
             .ring(Topics.ROUTING)
             .orElseThrow(() -> new IllegalStateException("the routing topic is not open"));
-    context.startDuty(Topics.ROUTING, new RoutingDuty(context, ring, sender, view));
+    Optional<PeerExchange> exchange = context.service(PeerExchange.class);
+    exchange.ifPresent(
+        peers ->
+            peers.handle(
+                OutcomeMessage.KIND,
+                OutcomeMessage.class,
+                (from, message) -> ring.offer(new RoutingEvent.PeerOutcomes(message))));
+    Consumer<OutcomeMessage> peers =
+        message -> exchange.ifPresent(e -> e.sendAll(OutcomeMessage.KIND, message));
+    context.startDuty(Topics.ROUTING, new RoutingDuty(context, ring, sender, view, peers));
   }
 }
--- a/entry/src/main/java/org/bergamotcross/entry/duties/RoutingReports.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/RoutingReports.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.bergamotcross.core.admission.Outcome;
+import org.bergamotcross.core.admission.Refusal;
 import org.bergamotcross.core.admission.StoredAnswer;
 import org.bergamotcross.core.routing.Choice;
 import org.bergamotcross.core.routing.SendResult;
@@ -30,21 +31,22 @@
   }
 
   /** Reports an attempt that is being sent. */
-  void chosen(InHand request, InHand.Stage.Sent sent, Choice.Chosen choice) {
+  void chosen(InHand request, InHand.Stage.Sent sent, Choice.Chosen choice, double risk) {
     events
         .event("route.chosen")
         .with("request", request.id())
         .with("attempt", request.attempts())
-        .with("pool", request.admitted().route().pool())
+        .with("pool", request.admitted().pool())
         .with("target", choice.target().id())
         .with("reason", choice.trial() ? "trial" : "fewest-in-flight-of-two")
         .with("in-flight", choice.knownInFlight())
+        .with("failure-risk", Math.round(risk * 1_000) / 1_000.0)
         .emit();
     health.ifPresent(
         ring ->
             ring.offerReserved(
                 new HealthInput.Started(
-                    sent.id(), request.admitted().route().pool(), choice.target().id())));
+                    sent.id(), request.admitted().pool(), choice.target().id())));
   }
 
   /** Reports an attempt that ended. */
@@ -53,11 +55,7 @@
         ring ->
             ring.offerReserved(
                 new HealthInput.Ended(
-                    sent.id(),
-                    request.admitted().route().pool(),
-                    sent.target().id(),
-                    result,
-                    timeToHead)));
+                    sent.id(), request.admitted().pool(), sent.target().id(), result, timeToHead)));
   }
 
   /** Reports the head of a response; a slow caller of a long one says nothing about the target. */
@@ -66,7 +64,31 @@
         ring ->
             ring.offerReserved(
                 new HealthInput.Answering(
-                    sent.id(), request.admitted().route().pool(), sent.target().id())));
+                    sent.id(), request.admitted().pool(), sent.target().id())));
+  }
+
+  /** Reports an attempt that lasts longer than usual. */
+  void stalled(InHand request, InHand.Stage.Sent sent, Now now) {
+    events
+        .event("route.stalled")
+        .with("request", request.id())
+        .with("attempt", request.attempts())
+        .with("target", sent.target().id())
+        .with("age-ms", now.since(sent.startedAt()).toMillis())
+        .emit();
+  }
+
+  /** Reports a request that ends without an answer of a target. */
+  void refused(InHand request, Refusal refusal, Now now) {
+    events
+        .event("route.refused")
+        .with("request", request.id())
+        .with("target", request.previous())
+        .with("attempts", request.attempts())
+        .with("reason", refusal.code())
+        .with("outcome", refusal.outcome().text())
+        .with("age-ms", now.since(request.admitted().request().receivedAt()).toMillis())
+        .emit();
   }
 
   /** Reports a request that waits for a target. */
@@ -74,7 +96,7 @@
     events
         .event("route.queued")
         .with("request", request.id())
-        .with("pool", request.admitted().route().pool())
+        .with("pool", request.admitted().pool())
         .with("reason", "all-targets-busy")
         .emit();
   }
--- a/entry/src/main/java/org/bergamotcross/entry/http/Attempt.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/Attempt.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
@@ -17,6 +18,7 @@
 import org.apache.pekko.stream.javadsl.Source;
 import org.apache.pekko.util.ByteString;
 import org.bergamotcross.core.admission.StoredAnswer;
+import org.bergamotcross.entry.AdmittedRequest;
 import org.bergamotcross.entry.SendEvent;
 import org.bergamotcross.entry.TargetSender;
 
@@ -27,8 +29,13 @@
  * reaches a caller that was told otherwise.
  */
 final class Attempt implements TargetSender.Sending, TargetConnection.User {
+  private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
+  private static final Set<String> TRUE_VALUES = Set.of("true", "1");
+
   private final CallerExchange caller;
   private final boolean claimed;
+  private final boolean idempotent;
+  private final PathOptions options;
   private final Materializer materializer;
   private final Consumer<SendEvent> events;
   private final Consumer<TargetConnection> reuse;
@@ -44,19 +51,24 @@
    * Creates an attempt that has not been sent.
    *
    * @param caller the caller's exchange
-   * @param claimed whether a small response is read in full before it is reported
+   * @param request what was decided about the request; of a claimed one, a small response is read
+   *     in full before it is reported
+   * @param options how responses are read
    * @param materializer runs the streams
    * @param events receives what happens
    * @param reuse takes connections that can carry another request
    */
   Attempt(
       CallerExchange caller,
-      boolean claimed,
+      AdmittedRequest request,
+      PathOptions options,
       Materializer materializer,
       Consumer<SendEvent> events,
       Consumer<TargetConnection> reuse) {
     this.caller = caller;
-    this.claimed = claimed;
+    this.claimed = request.claimed();
+    this.idempotent = request.idempotent();
+    this.options = options;
     this.materializer = materializer;
     this.events = events;
     this.reuse = reuse;
@@ -104,16 +116,22 @@
 
   @Override
   public void responded(HttpResponse response) {
-    TargetHead head = TargetHead.read(response);
-    if (head.notRun()) {
+    TargetHead head = TargetHead.read(response, options.names());
+    if (isOfAnotherRequest(response, head)) {
+      breakOff();
+    } else if (head.notRun()) {
       if (end(new SendEvent.Shed(head.draining(), head.retryAfter()))) {
         discard(response);
       }
-    } else if (response.entity().isCloseDelimited()) {
+    } else if (response.entity().isCloseDelimited() && !options.unframedAccepted()) {
       // Its end is the same whether the target finished or broke.
       breakOff();
-    } else if (claimed && !hasNoBody(response)) {
-      readSmall(response, head);
+    } else if (isRefusalWithoutPromise(head)) {
+      breakOff();
+    } else if (!isComplete(response) && readLimit(response) > 0) {
+      readStart(response, head, readLimit(response));
+    } else if (claimed && response.entity() instanceof HttpEntity.Strict strict) {
+      reportSmall(response, head, strict.getData());
     } else {
       report(response, head, Optional.empty());
     }
@@ -127,11 +145,12 @@
     }
     HttpResponse given = response.get();
     if (isComplete(given)) {
-      return caller.respond(Responses.fromTarget(caller.id(), given, given.entity()));
+      return caller.respond(caller.responses().fromTarget(caller.id(), given, given.entity()));
     }
     delivered = true;
     boolean first =
-        caller.respondStream(Responses.fromTarget(caller.id(), given, watched(given.entity())));
+        caller.respondStream(
+            caller.responses().fromTarget(caller.id(), given, watched(given.entity())));
     if (!first) {
       cancel();
     }
@@ -149,12 +168,33 @@
     }
   }
 
-  /** Reads the body up to the largest size that is kept; a larger one is passed on as a stream. */
-  private void readSmall(HttpResponse response, TargetHead head) {
+  /** A late or crossed response carries the id of the request that it answers. */
+  private boolean isOfAnotherRequest(HttpResponse response, TargetHead head) {
+    Optional<String> echoed =
+        response.getHeader(options.names().requestId()).map(header -> header.value().strip());
+    return echoed.isPresent()
+        ? !echoed.get().equals(caller.id())
+        : options.idEchoed() && !head.notRun();
+  }
+
+  /**
+   * These statuses tell a caller that its request has not run, which only this target could say.
+   */
+  private boolean isRefusalWithoutPromise(TargetHead head) {
+    return !idempotent && NOT_RUN_STATUSES.contains(head.status());
+  }
+
+  private long readLimit(HttpResponse response) {
+    long limit = Math.max(options.bufferedBytes(), claimed ? StoredAnswer.MAX_BODY_BYTES : 0);
+    return response.entity().getContentLengthOption().orElse(0) > limit ? 0 : limit;
+  }
+
+  /** Reads the body up to a limit; a larger one is passed on as a stream. */
+  private void readStart(HttpResponse response, TargetHead head, long limit) {
     response
         .entity()
         .getDataBytes()
-        .groupedWeighted(StoredAnswer.MAX_BODY_BYTES + 1L, bytes -> (long) bytes.size())
+        .groupedWeighted(limit + 1, bytes -> (long) bytes.size())
         .map(group -> group.stream().reduce(ByteString.emptyByteString(), ByteString::concat))
         .prefixAndTail(1)
         .runWith(Sink.head(), materializer)
@@ -166,7 +206,7 @@
               }
               ByteString start =
                   read.first().isEmpty() ? ByteString.emptyByteString() : read.first().getFirst();
-              if (start.size() <= StoredAnswer.MAX_BODY_BYTES) {
+              if (start.size() <= limit) {
                 reportSmall(response, head, start);
               } else {
                 report(
@@ -180,12 +220,15 @@
 
   private void reportSmall(HttpResponse response, TargetHead head, ByteString body) {
     HttpEntity.Strict entity = HttpEntities.create(response.entity().getContentType(), body);
-    StoredAnswer answer =
-        new StoredAnswer(
-            response.status().intValue(),
-            response.entity().getContentType().toString(),
-            body.toArray());
-    report(response.withEntity((ResponseEntity) entity), head, Optional.of(answer));
+    Optional<StoredAnswer> answer =
+        claimed && body.size() <= StoredAnswer.MAX_BODY_BYTES
+            ? Optional.of(
+                new StoredAnswer(
+                    head.status(), response.entity().getContentType().toString(), body.toArray()))
+            : Optional.empty();
+    boolean endedItself = response.entity().isCloseDelimited();
+    report(
+        response.withEntity((ResponseEntity) entity), endedItself ? head.closing() : head, answer);
   }
 
   private void report(HttpResponse response, TargetHead head, Optional<StoredAnswer> answer) {
@@ -315,19 +358,30 @@
 
   /** What the head of a response says to bergamotcross. */
   record TargetHead(
-      boolean notRun, boolean draining, boolean closes, Optional<Duration> retryAfter) {
-    static TargetHead read(HttpResponse response) {
+      int status, boolean notRun, boolean draining, boolean closes, Optional<Duration> retryAfter) {
+    private static final int FIRST_CLIENT_ERROR = 400;
+    private static final int MISDIRECTED = 421;
+
+    static TargetHead read(HttpResponse response, HeaderNames names) {
       int status = response.status().intValue();
-      boolean shedding = status == 503 || status == 429;
+      boolean misdirected = status == MISDIRECTED && names.expectedTarget().isPresent();
       return new TargetHead(
-          shedding && isTrue(response, "X-Not-Run"),
-          isTrue(response, "X-Draining"),
+          status,
+          misdirected || (status >= FIRST_CLIENT_ERROR && isTrue(response, names.notRun())),
+          isTrue(response, names.draining()),
           HopByHop.closes(response),
           response.getHeader("Retry-After").flatMap(h -> seconds(h.value())));
     }
 
+    TargetHead closing() {
+      return new TargetHead(status, notRun, draining, true, retryAfter);
+    }
+
     private static boolean isTrue(HttpResponse response, String name) {
-      return response.getHeader(name).filter(h -> h.value().strip().equals("true")).isPresent();
+      return response
+          .getHeader(name)
+          .filter(h -> TRUE_VALUES.contains(h.value().strip()))
+          .isPresent();
     }
 
     private static Optional<Duration> seconds(String text) {
--- a/entry/src/main/java/org/bergamotcross/entry/http/CallerExchange.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/CallerExchange.java
@@ -26,6 +26,7 @@
 
   private final HttpRequest request;
   private final String id;
+  private final Responses responses;
   private final EventLog events;
   private final BooleanSupplier closing;
   private final AtomicInteger open;
@@ -38,6 +39,7 @@
    *
    * @param request the caller's request
    * @param id the request id
+   * @param responses builds the responses
    * @param events the event log
    * @param closing whether the caller shall open a new connection for its next request
    * @param open counts the open exchanges
@@ -45,11 +47,13 @@
   CallerExchange(
       HttpRequest request,
       String id,
+      Responses responses,
       EventLog events,
       BooleanSupplier closing,
       AtomicInteger open) {
     this.request = request;
     this.id = id;
+    this.responses = responses;
     this.events = events;
     this.closing = closing;
     this.open = open;
@@ -65,6 +69,15 @@
     return id;
   }
 
+  /**
+   * Returns the encoder of responses.
+   *
+   * @return the encoder for the callers of this instance
+   */
+  Responses responses() {
+    return responses;
+  }
+
   /**
    * Returns the caller's request.
    *
@@ -152,7 +165,7 @@
 
   @Override
   public void refuse(Refusal refusal) {
-    HttpResponse refused = Responses.refusal(id, refusal);
+    HttpResponse refused = responses.refusal(id, refusal);
     // A body that was not read would be taken for the next request.
     boolean unread = !request.entity().isStrict();
     if (respond(unread ? Responses.closing(refused) : refused)) {
@@ -167,6 +180,6 @@
 
   @Override
   public void answer(StoredAnswer answer) {
-    respond(Responses.stored(id, answer));
+    respond(responses.stored(id, answer));
   }
 }
--- a/entry/src/main/java/org/bergamotcross/entry/http/CallerHead.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/CallerHead.java
@@ -18,6 +18,7 @@
  *
  * @param id the request id, given by the caller or made here
  * @param keys the different keys, as text
+ * @param host the host that the request names, in lower case, without a port
  * @param idempotencyKey the idempotency key
  * @param timeout the longest time that the caller allows
  * @param problem the first header that can't be read
@@ -25,15 +26,14 @@
 record CallerHead(
     String id,
     List<String> keys,
+    Optional<String> host,
     Optional<String> idempotencyKey,
     Optional<Duration> timeout,
     Optional<Refusal> problem) {
   static final String AUTHORIZATION = "authorization";
   static final String API_KEY = "x-api-key";
-  static final String REQUEST_ID = "x-request-id";
-  static final String IDEMPOTENCY_KEY = "idempotency-key";
-  static final String TIMEOUT = "x-request-timeout-ms";
 
+  private static final String HOST = "host";
   private static final String BEARER = "bearer ";
   // Visible ASCII without quotes: ids go into log lines and headers as they are.
   private static final Pattern TOKEN = Pattern.compile("[!#-~]{1,128}");
@@ -43,41 +43,51 @@
    * Reads the headers, whose names may come in any letter case.
    *
    * @param request the request
+   * @param names the names of the headers
    * @return the head
    */
-  static CallerHead read(HttpRequest request) {
-    Reader reader = new Reader();
+  static CallerHead read(HttpRequest request, HeaderNames names) {
+    Reader reader = new Reader(names);
     for (HttpHeader header : request.getHeaders()) {
       reader.read(header.lowercaseName(), header.value().strip());
     }
     return new CallerHead(
         reader.id.orElseGet(() -> UUID.randomUUID().toString()),
         List.copyOf(reader.keys),
+        reader.host,
         reader.idempotencyKey,
         reader.timeout,
         reader.problems.stream().findFirst());
   }
 
   private static final class Reader {
+    private final HeaderNames names;
     private final Set<String> keys = new LinkedHashSet<>();
     private final List<Refusal> problems = new ArrayList<>();
     private Optional<String> id = Optional.empty();
     private Optional<String> idempotencyKey = Optional.empty();
     private Optional<Duration> timeout = Optional.empty();
+    private Optional<String> host = Optional.empty();
+
+    Reader(HeaderNames names) {
+      this.names = names;
+    }
 
     void read(String name, String value) {
-      switch (name) {
-        case AUTHORIZATION -> bearer(value).ifPresent(keys::add);
-        case API_KEY -> keys.add(value);
-        case REQUEST_ID ->
-            id = single(id, token(value), "X-Request-Id", "1 to 128 visible letters");
-        case IDEMPOTENCY_KEY ->
-            idempotencyKey =
-                single(idempotencyKey, token(value), "Idempotency-Key", "1 to 128 visible letters");
-        case TIMEOUT ->
-            timeout =
-                single(timeout, millis(value), "X-Request-Timeout-Ms", "a whole number above 0");
-        default -> {}
+      if (name.equals(AUTHORIZATION)) {
+        bearer(value).ifPresent(keys::add);
+      } else if (name.equals(API_KEY)) {
+        keys.add(value);
+      } else if (name.equals(HOST)) {
+        host = Optional.of(withoutPort(value.toLowerCase(Locale.ROOT)));
+      } else if (HeaderNames.is(names.requestId(), name)) {
+        id = single(id, token(value), names.requestId(), "1 to 128 visible letters");
+      } else if (HeaderNames.is(names.idempotencyKey(), name)) {
+        idempotencyKey =
+            single(
+                idempotencyKey, token(value), names.idempotencyKey(), "1 to 128 visible letters");
+      } else if (HeaderNames.is(names.timeout(), name)) {
+        timeout = single(timeout, millis(value), names.timeout(), "a whole number above 0");
       }
     }
 
@@ -95,6 +105,11 @@
     }
   }
 
+  private static String withoutPort(String host) {
+    int colon = host.lastIndexOf(':');
+    return colon > host.lastIndexOf(']') ? host.substring(0, colon) : host;
+  }
+
   private static Optional<String> bearer(String value) {
     return value.toLowerCase(Locale.ROOT).startsWith(BEARER)
         ? Optional.of(value.substring(BEARER.length()).strip())
--- a/entry/src/main/java/org/bergamotcross/entry/http/FrontEnd.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/FrontEnd.java
@@ -22,6 +22,7 @@
 import org.bergamotcross.core.admission.Outcome;
 import org.bergamotcross.core.admission.Refusal;
 import org.bergamotcross.entry.AdmissionInput;
+import org.bergamotcross.entry.Broadcasts;
 import org.bergamotcross.entry.CallerRequest;
 import org.bergamotcross.entry.EntrySettings;
 import org.bergamotcross.entry.OpenRequests;
@@ -50,11 +51,16 @@
   private final AtomicReference<Optional<ServerBinding>> binding =
       new AtomicReference<>(Optional.empty());
   private final SharedKillSwitch idle = KillSwitches.shared("caller connections");
+  private final PathOptions options;
+  private final Responses responses;
   private volatile boolean stopping;
+  private volatile boolean refusing;
 
   FrontEnd(PluginContext context) {
     this.events = context.events();
     this.time = context.time();
+    this.options = PathOptions.of(context.settings());
+    this.responses = new Responses(options);
     this.maxBodyBytes = context.settings().value(EntrySettings.MAX_BODY_BYTES);
   }
 
@@ -98,9 +104,22 @@
     return binding.get().map(ServerBinding::localAddress);
   }
 
+  /**
+   * Asks callers to leave; still serves them when that is wanted.
+   *
+   * @param announced the start of the stop, or the end of the time in which requests are served
+   */
+  void stop(Broadcasts.Stopping announced) {
+    stopping = true;
+    if (announced.acceptUntil().isEmpty()) {
+      stop();
+    }
+  }
+
   /** Accepts no new connections and refuses new requests on open ones. */
   void stop() {
     stopping = true;
+    refusing = true;
     binding.get().ifPresent(ServerBinding::unbind);
   }
 
@@ -154,16 +173,16 @@
 
     private CallerExchange arrive(HttpRequest request) {
       Now now = time.now();
-      CallerHead head = CallerHead.read(request);
+      CallerHead head = CallerHead.read(request, options.names());
       CallerExchange exchange =
-          new CallerExchange(request, head.id(), events, () -> stopping, requests);
+          new CallerExchange(request, head.id(), responses, events, () -> stopping, requests);
       refusal(request, head)
           .ifPresentOrElse(exchange::refuse, () -> offer(request, head, exchange, now));
       return exchange;
     }
 
     private Optional<Refusal> refusal(HttpRequest request, CallerHead head) {
-      if (stopping) {
+      if (refusing) {
         return Optional.of(new Refusal.Stopping());
       }
       if (request.entity().getContentLengthOption().orElse(0) > maxBodyBytes) {
@@ -177,6 +196,7 @@
           new CallerRequest(
               head.id(),
               request.method().value(),
+              head.host(),
               request.getUri().path(),
               head.keys(),
               head.idempotencyKey(),
--- a/entry/src/main/java/org/bergamotcross/entry/http/FrontEndPlugin.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/FrontEndPlugin.java
@@ -1,6 +1,7 @@
 package org.bergamotcross.entry.http;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.List;
 import org.bergamotcross.entry.Broadcasts;
 import org.bergamotcross.entry.EntrySettings;
@@ -20,12 +21,17 @@
 
   @Override
   public List<Setting<?>> settings() {
-    return List.of(
-        EntrySettings.CALLERS,
-        EntrySettings.OPERATIONS,
-        EntrySettings.PEERS,
-        EntrySettings.PLATFORM,
-        EntrySettings.MAX_BODY_BYTES);
+    List<Setting<?>> all = new ArrayList<>(PathOptions.settings());
+    all.addAll(
+        List.of(
+            EntrySettings.CALLERS,
+            EntrySettings.OPERATIONS,
+            EntrySettings.PEERS,
+            EntrySettings.PLATFORM,
+            EntrySettings.MAX_BODY_BYTES,
+            EntrySettings.STOP_ACCEPT_MS,
+            EntrySettings.STOP_LIMIT_MS));
+    return all;
   }
 
   @Override
@@ -39,7 +45,7 @@
     FrontEnd frontEnd = new FrontEnd(context);
     context.provide(FrontEnd.class, frontEnd);
     context.provide(OpenRequests.class, frontEnd);
-    context.subscribe(Broadcasts.STOPPING, stopping -> frontEnd.stop());
+    context.subscribe(Broadcasts.STOPPING, frontEnd::stop);
   }
 
   @Override
--- /dev/null
+++ b/entry/src/main/java/org/bergamotcross/entry/http/HeaderNames.java
@@ -0,0 +1,116 @@
+package org.bergamotcross.entry.http;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.regex.Pattern;
+import org.bergamotcross.kernel.Setting;
+import org.bergamotcross.kernel.Settings;
+
+/**
+ * The names of the headers by which callers, this instance and targets tell each other about a
+ * request; a deployment with names of its own sets them in section {@code [headers]}.
+ *
+ * @param requestId the id of a request, from the caller and to the target
+ * @param timeout the time in ms for which the caller waits
+ * @param idempotencyKey the key under which a caller repeats a request
+ * @param organisation the organisation of a request, to the target
+ * @param deadline the end of the caller's wait as Unix time in ms, to the target
+ * @param timeLeft the rest of the caller's wait in ms, to the target
+ * @param attempt the number of the attempt, to the target
+ * @param expectedTarget the id of the target that is meant, to the target
+ * @param notRun says that the target has not run the request
+ * @param draining says that the target is draining
+ */
+record HeaderNames(
+    String requestId,
+    String timeout,
+    String idempotencyKey,
+    String organisation,
+    Optional<String> deadline,
+    Optional<String> timeLeft,
+    Optional<String> attempt,
+    Optional<String> expectedTarget,
+    String notRun,
+    String draining) {
+  private static final String SECTION = "headers";
+  private static final String NONE = "none";
+  private static final Pattern TOKEN = Pattern.compile("[A-Za-z0-9-]{1,64}");
+
+  private static final Setting<String> REQUEST_ID = header("request-id", "X-Request-Id");
+  private static final Setting<String> TIMEOUT = header("timeout", "X-Request-Timeout-Ms");
+  private static final Setting<String> IDEMPOTENCY_KEY =
+      header("idempotency-key", "Idempotency-Key");
+  private static final Setting<String> ORGANISATION = header("organisation", "X-Organisation");
+  private static final Setting<String> DEADLINE = header("deadline", "X-Request-Deadline");
+  private static final Setting<String> TIME_LEFT = header("time-left", NONE);
+  private static final Setting<String> ATTEMPT = header("attempt", "X-Attempt");
+  private static final Setting<String> EXPECTED_TARGET = header("expected-target", NONE);
+  private static final Setting<String> NOT_RUN = header("not-run", "X-Not-Run");
+  private static final Setting<String> DRAINING = header("draining", "X-Draining");
+
+  /** The settings that {@link #of} reads. */
+  static final List<Setting<?>> SETTINGS =
+      List.of(
+          REQUEST_ID,
+          TIMEOUT,
+          IDEMPOTENCY_KEY,
+          ORGANISATION,
+          DEADLINE,
+          TIME_LEFT,
+          ATTEMPT,
+          EXPECTED_TARGET,
+          NOT_RUN,
+          DRAINING);
+
+  static HeaderNames of(Settings settings) {
+    return new HeaderNames(
+        settings.value(REQUEST_ID),
+        settings.value(TIMEOUT),
+        settings.value(IDEMPOTENCY_KEY),
+        settings.value(ORGANISATION),
+        optional(settings.value(DEADLINE)),
+        optional(settings.value(TIME_LEFT)),
+        optional(settings.value(ATTEMPT)),
+        optional(settings.value(EXPECTED_TARGET)),
+        settings.value(NOT_RUN),
+        settings.value(DRAINING));
+  }
+
+  /** Tells whether a header of a caller is for this instance, or is written anew for a target. */
+  boolean isOwnTowardsTargets(String lowercaseName) {
+    return is(requestId, lowercaseName)
+        || is(timeout, lowercaseName)
+        || is(organisation, lowercaseName)
+        || is(deadline, lowercaseName)
+        || is(timeLeft, lowercaseName)
+        || is(attempt, lowercaseName)
+        || is(expectedTarget, lowercaseName);
+  }
+
+  /** Tells whether a header of a target is for this instance. */
+  boolean isOwnTowardsCallers(String lowercaseName) {
+    return is(requestId, lowercaseName) || is(notRun, lowercaseName) || is(draining, lowercaseName);
+  }
+
+  static boolean is(String header, String lowercaseName) {
+    return header.toLowerCase(Locale.ROOT).equals(lowercaseName);
+  }
+
+  private static boolean is(Optional<String> header, String lowercaseName) {
+    return header.isPresent() && is(header.get(), lowercaseName);
+  }
+
+  private static Optional<String> optional(String name) {
+    return Optional.of(name).filter(n -> !n.equals(NONE));
+  }
+
+  private static Setting<String> header(String key, String name) {
+    return new Setting<>(
+        SECTION,
+        key,
+        "the name of a header, or " + NONE + " where it may be left out",
+        Optional.of(name),
+        text -> Optional.of(text).filter(t -> TOKEN.matcher(t).matches()));
+  }
+}
--- a/entry/src/main/java/org/bergamotcross/entry/http/OperationsPages.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/OperationsPages.java
@@ -45,7 +45,11 @@
    * @return the page, or 404
    */
   HttpResponse answer(HttpRequest request) {
-    return switch (request.getUri().path()) {
+    String path = request.getUri().path();
+    if (path.equals(context.settings().value(EntrySettings.READY_PATH))) {
+      return health();
+    }
+    return switch (path) {
       case "/health" -> health();
       case "/metrics" -> page(200, metrics());
       case "/status" -> page(200, status());
--- a/entry/src/main/java/org/bergamotcross/entry/http/OperationsPlugin.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/OperationsPlugin.java
@@ -36,6 +36,7 @@
         EntrySettings.INSTANCE_ID,
         EntrySettings.FAILURE_DOMAIN,
         EntrySettings.OPERATIONS,
+        EntrySettings.READY_PATH,
         EntrySettings.CALLERS,
         EntrySettings.PEERS,
         EntrySettings.PLATFORM);
--- a/entry/src/main/java/org/bergamotcross/entry/http/Responses.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/Responses.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -24,11 +25,22 @@
 /** Builds the responses that callers get. */
 final class Responses {
   private static final ObjectMapper JSON = new ObjectMapper();
-  private static final String OWN_PREFIX = "x-bergamotcross-";
-  private static final Set<String> FROM_TARGET_ONLY =
-      Set.of("x-not-run", "x-draining", CallerHead.REQUEST_ID);
+  private static final String REFUSAL = "X-Bergamotcross-Refusal";
+  private static final String OUTCOME = "X-Bergamotcross-Outcome";
+  // A target must not speak for this instance.
+  private static final Set<String> OWN =
+      Set.of(REFUSAL.toLowerCase(Locale.ROOT), OUTCOME.toLowerCase(Locale.ROOT));
 
-  private Responses() {}
+  // Another instance can serve the request at once.
+  private static final Duration SOON = Duration.ofMillis(50);
+  // Slots are free again after the usual length of a request.
+  private static final Duration LATER = Duration.ofMillis(400);
+
+  private final PathOptions options;
+
+  Responses(PathOptions options) {
+    this.options = options;
+  }
 
   /**
    * Encodes a refusal.
@@ -37,13 +49,12 @@
    * @param refusal the refusal
    * @return the response
    */
-  static HttpResponse refusal(String requestId, Refusal refusal) {
+  HttpResponse refusal(String requestId, Refusal refusal) {
     List<HttpHeader> headers = new ArrayList<>();
-    headers.add(RawHeader.create("X-Request-Id", requestId));
-    headers.add(RawHeader.create("X-Bergamotcross-Refusal", refusal.code()));
-    headers.add(RawHeader.create("X-Bergamotcross-Outcome", refusal.outcome().text()));
-    retryAfter(refusal)
-        .ifPresent(d -> headers.add(RawHeader.create("Retry-After", wholeSeconds(d))));
+    headers.add(RawHeader.create(options.names().requestId(), requestId));
+    headers.add(RawHeader.create(REFUSAL, refusal.code()));
+    headers.add(RawHeader.create(OUTCOME, refusal.outcome().text()));
+    retryAfter(refusal).ifPresent(d -> headers.add(RawHeader.create("Retry-After", seconds(d))));
     return HttpResponse.create()
         .withStatus(status(refusal))
         .withHeaders(headers)
@@ -57,10 +68,10 @@
    * @param answer the kept answer
    * @return the response
    */
-  static HttpResponse stored(String requestId, StoredAnswer answer) {
+  HttpResponse stored(String requestId, StoredAnswer answer) {
     return HttpResponse.create()
         .withStatus(answer.status())
-        .addHeader(RawHeader.create("X-Request-Id", requestId))
+        .addHeader(RawHeader.create(options.names().requestId(), requestId))
         .withEntity(HttpEntities.create(contentType(answer.contentType()), answer.body()));
   }
 
@@ -72,17 +83,17 @@
    * @param entity the body to send
    * @return the response without the headers that are not for callers
    */
-  static HttpResponse fromTarget(String requestId, HttpResponse response, ResponseEntity entity) {
+  HttpResponse fromTarget(String requestId, HttpResponse response, ResponseEntity entity) {
     Set<String> dropped = HopByHop.names(response);
     List<HttpHeader> headers = new ArrayList<>();
     for (HttpHeader header : response.getHeaders()) {
       String name = header.lowercaseName();
-      boolean own = FROM_TARGET_ONLY.contains(name) || name.startsWith(OWN_PREFIX);
+      boolean own = OWN.contains(name) || options.names().isOwnTowardsCallers(name);
       if (!own && !dropped.contains(name)) {
         headers.add(header);
       }
     }
-    headers.add(RawHeader.create("X-Request-Id", requestId));
+    headers.add(RawHeader.create(options.names().requestId(), requestId));
     return HttpResponse.create()
         .withStatus(response.status())
         .withHeaders(headers)
@@ -118,7 +129,8 @@
       case Refusal.StaleConfiguration ignored -> 503;
       case Refusal.ClaimUnavailable ignored -> 503;
       case Refusal.TargetRefused ignored -> 503;
-      case Refusal.DeadlineBeforeSend ignored -> 504;
+      // It has not run, which 504 would leave open.
+      case Refusal.DeadlineBeforeSend ignored -> 503;
       case Refusal.DeadlineAfterSend ignored -> 504;
       case Refusal.TargetFailed ignored -> 502;
       case Refusal.AlreadyClaimed ignored -> 409;
@@ -161,11 +173,18 @@
     return switch (refusal) {
       case Refusal.RateExceeded r -> Optional.of(r.retryAfter());
       case Refusal.TargetRefused r -> r.retryAfter();
+      case Refusal.Stopping ignored -> Optional.of(SOON);
+      case Refusal.Overloaded ignored -> Optional.of(LATER);
+      case Refusal.NoTarget ignored -> Optional.of(LATER);
+      case Refusal.NotReady ignored -> Optional.of(SOON);
       default -> Optional.empty();
     };
   }
 
-  private static String wholeSeconds(Duration duration) {
+  private String seconds(Duration duration) {
+    if (options.fractionalRetryAfter()) {
+      return String.format(Locale.ROOT, "%.3f", duration.toMillis() / 1e3);
+    }
     return Long.toString(Math.max(1, duration.plusMillis(999).toSeconds()));
   }
 
--- a/entry/src/main/java/org/bergamotcross/entry/http/TargetClient.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/TargetClient.java
@@ -38,11 +38,13 @@
   private final ActorSystem system;
   private final Materializer materializer;
   private final ClientConnectionSettings settings;
+  private final PathOptions options;
   private final TimeSource time;
   private final Map<Address, ConcurrentLinkedDeque<TargetConnection>> idle =
       new ConcurrentHashMap<>();
 
-  TargetClient(ActorSystem system, TimeSource time) {
+  TargetClient(ActorSystem system, PathOptions options, TimeSource time) {
+    this.options = options;
     this.system = system;
     this.materializer = SystemMaterializer.get(system).materializer();
     this.settings = HttpSettings.client(system);
@@ -57,13 +59,13 @@
     Attempt attempt =
         new Attempt(
             caller,
-            request.claimed(),
+            request,
+            options,
             materializer,
             events,
             connection -> keep(connection, spares, slots));
-    HttpRequest outgoing = outgoing(caller.request(), request, number, attempt.body());
-    Duration maxIdle = request.idempotent() ? MAX_IDLE : MAX_IDLE_NOT_IDEMPOTENT;
-    if (!sendOnIdle(spares, maxIdle, outgoing, attempt)) {
+    HttpRequest outgoing = outgoing(caller.request(), request, target, number, attempt.body());
+    if (!sendOnIdle(spares, request.idempotent(), outgoing, attempt)) {
       TargetConnection fresh = new TargetConnection(target, settings, system, materializer);
       attempt.carriedBy(fresh);
       fresh.send(outgoing, attempt);
@@ -89,7 +91,9 @@
             spares ->
                 spares.removeIf(
                     connection -> {
-                      boolean drop = !connection.isUsable() || isOld(connection, MAX_IDLE, now);
+                      boolean drop =
+                          !connection.isUsable()
+                              || isOld(connection, maxIdle(connection, true), now);
                       if (drop) {
                         connection.close();
                       }
@@ -105,13 +109,13 @@
 
   private boolean sendOnIdle(
       ConcurrentLinkedDeque<TargetConnection> spares,
-      Duration maxIdle,
+      boolean idempotent,
       HttpRequest outgoing,
       Attempt attempt) {
     Now now = time.now();
     for (Optional<TargetConnection> next = take(spares); next.isPresent(); next = take(spares)) {
       TargetConnection connection = next.get();
-      if (connection.isUsable() && !isOld(connection, maxIdle, now)) {
+      if (connection.isUsable() && !isOld(connection, maxIdle(connection, idempotent), now)) {
         attempt.carriedBy(connection);
         if (connection.send(outgoing, attempt)) {
           return true;
@@ -122,6 +126,16 @@
     return false;
   }
 
+  /** A target that says for how long it keeps an idle connection is believed for a part of it. */
+  private static Duration maxIdle(TargetConnection connection, boolean idempotent) {
+    Duration usual = idempotent ? MAX_IDLE : MAX_IDLE_NOT_IDEMPOTENT;
+    return connection
+        .keptFor()
+        .map(kept -> kept.multipliedBy(idempotent ? 3 : 2).dividedBy(4))
+        .filter(kept -> !idempotent || kept.compareTo(usual) < 0)
+        .orElse(usual);
+  }
+
   private static Optional<TargetConnection> take(ConcurrentLinkedDeque<TargetConnection> spares) {
     return Optional.ofNullable(spares.pollFirst());
   }
@@ -140,12 +154,13 @@
     }
   }
 
-  private static HttpRequest outgoing(
-      HttpRequest caller, AdmittedRequest admitted, int number, RequestEntity body) {
+  private HttpRequest outgoing(
+      HttpRequest caller, AdmittedRequest admitted, Target target, int number, RequestEntity body) {
     return HttpRequest.create()
         .withMethod(caller.method())
         .withUri(caller.getUri().toRelative())
-        .withHeaders(TargetHeaders.build(caller, admitted, number))
+        .withHeaders(
+            TargetHeaders.build(caller, admitted, target, number, options.names(), time.now()))
         .withEntity(body);
   }
 
--- a/entry/src/main/java/org/bergamotcross/entry/http/TargetConnection.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/TargetConnection.java
@@ -1,5 +1,6 @@
 package org.bergamotcross.entry.http;
 
+import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -60,6 +61,7 @@
   private final CountingTransport transport = new CountingTransport();
   private final AtomicReference<Optional<User>> user = new AtomicReference<>(Optional.empty());
   private final Wires wires;
+  private volatile Optional<Duration> keptFor = Optional.empty();
   private volatile boolean closed;
   private volatile long receivedBefore;
   private volatile Now idleSince = new Now(0, 0);
@@ -152,6 +154,15 @@
     return idleSince;
   }
 
+  /**
+   * Tells for how long the target keeps the connection without a request.
+   *
+   * @return what its last response said; nothing when it said nothing
+   */
+  Optional<Duration> keptFor() {
+    return keptFor;
+  }
+
   /**
    * Tells whether a request could be sent.
    *
@@ -177,6 +188,7 @@
       wires.killSwitch().abort(new ClosedException());
       return;
     }
+    keptFor = KeepAlive.timeout(response);
     present.get().responded(response);
   }
 
--- a/entry/src/main/java/org/bergamotcross/entry/http/TargetHeaders.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/TargetHeaders.java
@@ -2,11 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.apache.pekko.http.javadsl.model.HttpHeader;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+import org.bergamotcross.core.config.Target;
 import org.bergamotcross.entry.AdmittedRequest;
+import org.bergamotcross.kernel.Now;
 
 /** Builds the headers that a target sees. */
 final class TargetHeaders {
@@ -15,46 +18,61 @@
       Set.of(
           CallerHead.AUTHORIZATION,
           CallerHead.API_KEY,
-          CallerHead.REQUEST_ID,
-          CallerHead.TIMEOUT,
-          "x-organisation",
-          "x-request-deadline",
-          "x-attempt",
-          // Names the target's address, which Pekko writes.
-          "host",
           // Pekko's server answers it before the body is read.
-          "expect",
-          // Pekko would send its value as the request line.
-          "raw-request-uri");
+          "expect");
 
   private TargetHeaders() {}
 
   /**
    * Builds the headers of one attempt.
    *
+   * <p>The Host header and the request line travel as the caller sent them.
+   *
    * @param caller the caller's request
    * @param admitted what was decided about it
+   * @param target the target
    * @param attempt the number of the attempt
+   * @param names the names of the headers
+   * @param now the present time
    * @return the headers, without any that holds a key
    */
-  static List<HttpHeader> build(HttpRequest caller, AdmittedRequest admitted, int attempt) {
+  static List<HttpHeader> build(
+      HttpRequest caller,
+      AdmittedRequest admitted,
+      Target target,
+      int attempt,
+      HeaderNames names,
+      Now now) {
     Set<String> dropped = HopByHop.names(caller);
     List<String> keys = admitted.request().keys();
     List<HttpHeader> headers = new ArrayList<>();
     for (HttpHeader header : caller.getHeaders()) {
       String name = header.lowercaseName();
-      if (!OWN.contains(name) && !dropped.contains(name) && !holdsKey(header.value(), keys)) {
+      if (!OWN.contains(name)
+          && !names.isOwnTowardsTargets(name)
+          && !dropped.contains(name)
+          && !holdsKey(header.value(), keys)) {
         headers.add(header);
       }
     }
-    headers.add(RawHeader.create("X-Request-Id", admitted.request().id()));
-    headers.add(RawHeader.create("X-Organisation", admitted.organisation().value()));
-    headers.add(
-        RawHeader.create("X-Request-Deadline", Long.toString(admitted.deadline().wallMillis())));
-    headers.add(RawHeader.create("X-Attempt", Integer.toString(attempt)));
+    headers.add(RawHeader.create(names.requestId(), admitted.request().id()));
+    admitted
+        .organisation()
+        .ifPresent(id -> headers.add(RawHeader.create(names.organisation(), id.value())));
+    Now deadline = admitted.deadline();
+    add(headers, names.deadline(), deadline.wallMillis());
+    add(headers, names.timeLeft(), Math.max(1, deadline.since(now).toMillis()));
+    add(headers, names.attempt(), attempt);
+    names
+        .expectedTarget()
+        .ifPresent(name -> headers.add(RawHeader.create(name, target.id().value())));
     return headers;
   }
 
+  private static void add(List<HttpHeader> headers, Optional<String> name, long value) {
+    name.ifPresent(n -> headers.add(RawHeader.create(n, Long.toString(value))));
+  }
+
   /** A caller may repeat its key under another name, for example in X-Forwarded-Authorization. */
   private static boolean holdsKey(String value, List<String> keys) {
     return keys.stream().anyMatch(value::contains);
--- a/entry/src/main/java/org/bergamotcross/entry/peer/ExchangeDuty.java
+++ b/entry/src/main/java/org/bergamotcross/entry/peer/ExchangeDuty.java
@@ -11,8 +11,10 @@
 import org.bergamotcross.core.config.Configuration;
 import org.bergamotcross.core.membership.InstanceId;
 import org.bergamotcross.core.membership.Member;
+import org.bergamotcross.core.membership.PeerView;
 import org.bergamotcross.entry.Broadcasts;
 import org.bergamotcross.entry.Broadcasts.PeerEcho;
+import org.bergamotcross.entry.EntrySettings;
 import org.bergamotcross.entry.PeerExchange.Sender;
 import org.bergamotcross.kernel.DutyHandler;
 import org.bergamotcross.kernel.Now;
@@ -20,10 +22,9 @@
 
 /** Runs the links to the peers: introduction, beats, echoes, and the messages of the plug-ins. */
 final class ExchangeDuty implements DutyHandler<ExchangeInput> {
-  // Half a second gives six beats within the 3 s for which an echo counts, so that a few lost
-  // beats do not make an instance stop serving.
-  private static final Duration BEAT_INTERVAL = Duration.ofMillis(500);
-  private static final Duration TICK = Duration.ofMillis(100);
+  private static final Duration TICK = Duration.ofMillis(250);
+  // An echo is one beat old when it arrives, and the next one may be a beat and a pause away.
+  private static final double HEARD_BEATS = 3.5;
 
   private final Member self;
   private final List<String> seeds;
@@ -32,6 +33,9 @@
   private final PluginContext context;
   private final PeerCodec codec = new PeerCodec();
   private final PeerTable peers;
+  private final Duration beatInterval;
+  private final Duration heardWithin;
+  private PeerView published = PeerView.NONE;
   private final Meter sent;
   private final Meter sentBytes;
   private final Meter dropped;
@@ -51,6 +55,8 @@
     this.links = links;
     this.context = context;
     this.peers = new PeerTable(self.id());
+    this.beatInterval = Duration.ofMillis(context.settings().value(EntrySettings.BEAT_MS));
+    this.heardWithin = Duration.ofMillis((long) (beatInterval.toMillis() * HEARD_BEATS));
     MetricRegistry metrics = context.metrics();
     this.sent = metrics.meter("peer.frames-sent");
     this.sentBytes = metrics.meter("peer.bytes-sent");
@@ -64,8 +70,11 @@
       case ExchangeInput.Outbound out -> send(out.to(), out.kind(), out.message());
       case ExchangeInput.OutboundToAll out -> sendToAll(out.kind(), out.message());
       case ExchangeInput.Inbound in -> receive(in.frame(), now);
-      case ExchangeInput.LinkClosed closed ->
-          links.closed(closed.address(), closed.generation(), now);
+      case ExchangeInput.LinkClosed closed -> {
+        links.closed(closed.address(), closed.generation(), now);
+        peers.ended(closed.address());
+      }
+      case ExchangeInput.Found found -> find(found.members(), now);
       case ExchangeInput.Configured configured -> configure(configured.configuration(), now);
     }
   }
@@ -76,11 +85,36 @@
     maintainLinks(now);
     if (nextBeatAt.isEmpty() || !now.isBefore(nextBeatAt.get())) {
       peers.addresses().keySet().forEach(id -> sendBeat(id, now));
-      nextBeatAt = Optional.of(now.plus(BEAT_INTERVAL));
+      nextBeatAt = Optional.of(now.plus(beatInterval));
     }
+    publishView(now);
     return TICK;
   }
 
+  private void publishView(Now now) {
+    PeerView view = peers.view(heardWithin, now);
+    if (!view.equals(published)) {
+      published = view;
+      context
+          .events()
+          .event("peers.changed")
+          .with("heard", view.heard().size())
+          .with("known", view.known())
+          .emit();
+      context.publish(Broadcasts.PEERS, view);
+    }
+  }
+
+  private void find(List<Member> members, Now now) {
+    boolean isNew = false;
+    for (Member member : members) {
+      isNew |= peers.find(member, now);
+    }
+    if (isNew) {
+      maintainLinks(now);
+    }
+  }
+
   private void configure(Configuration next, Now now) {
     configuration = next;
     peers.update(next.members(), now);
@@ -92,7 +126,7 @@
     wanted.addAll(seeds);
     wanted.remove(self.peerAddress());
     for (String address : links.maintain(wanted, now)) {
-      write(address, PeerMessages.HELLO, PeerMessages.Hello.of(self));
+      write(address, PeerMessages.HELLO, PeerMessages.Hello.of(self, seeds.contains(address)));
     }
   }
 
@@ -113,12 +147,17 @@
   private void sendToAll(String kind, Record message) {
     byte[] frame = frame(kind, message);
     for (Map.Entry<InstanceId, String> peer : peers.addresses().entrySet()) {
-      if (configuration.members().find(peer.getKey()).isPresent()) {
+      if (isRecipient(peer.getKey())) {
         writeFrame(peer.getValue(), frame);
       }
     }
   }
 
+  /** Without a list of members, as when no log is read, every known peer gets the messages. */
+  private boolean isRecipient(InstanceId id) {
+    return configuration.members().list().isEmpty() || configuration.members().find(id).isPresent();
+  }
+
   private void write(String address, String kind, Record message) {
     writeFrame(address, frame(kind, message));
   }
@@ -150,6 +189,12 @@
           codec
               .decode(envelope.body(), PeerMessages.Hello.class)
               .ifPresentOrElse(hello -> introduce(hello, now), unreadable::mark);
+      case PeerMessages.PEERS ->
+          codec
+              .decode(envelope.body(), PeerMessages.Peers.class)
+              .ifPresentOrElse(
+                  told -> find(told.peers().stream().map(PeerMessages.Hello::member).toList(), now),
+                  unreadable::mark);
       case PeerMessages.BEAT ->
           codec
               .decode(envelope.body(), PeerMessages.Beat.class)
@@ -173,6 +218,11 @@
         .with("failure-domain", member.failureDomain())
         .emit();
     maintainLinks(now);
+    if (hello.asksForPeers()) {
+      List<PeerMessages.Hello> known =
+          peers.members().stream().map(peer -> PeerMessages.Hello.of(peer, false)).toList();
+      write(member.peerAddress(), PeerMessages.PEERS, new PeerMessages.Peers(known));
+    }
   }
 
   private void heard(Sender from, PeerMessages.Beat beat, Now now) {
--- a/entry/src/main/java/org/bergamotcross/entry/peer/ExchangeInput.java
+++ b/entry/src/main/java/org/bergamotcross/entry/peer/ExchangeInput.java
@@ -1,7 +1,9 @@
 package org.bergamotcross.entry.peer;
 
+import java.util.List;
 import org.bergamotcross.core.config.Configuration;
 import org.bergamotcross.core.membership.InstanceId;
+import org.bergamotcross.core.membership.Member;
 
 /** The messages of the exchange duty. */
 sealed interface ExchangeInput {
@@ -20,6 +22,14 @@
   /** An outgoing connection has ended. */
   record LinkClosed(String address, long generation) implements ExchangeInput {}
 
+  /** A list outside the fleet names other instances. */
+  record Found(List<Member> members) implements ExchangeInput {
+    /** Copies the list. */
+    public Found {
+      members = List.copyOf(members);
+    }
+  }
+
   /** The configuration has changed. */
   record Configured(Configuration configuration) implements ExchangeInput {}
 }
--- a/entry/src/main/java/org/bergamotcross/entry/peer/ExchangePlugin.java
+++ b/entry/src/main/java/org/bergamotcross/entry/peer/ExchangePlugin.java
@@ -54,7 +54,11 @@
   @Override
   public List<Setting<?>> settings() {
     return List.of(
-        EntrySettings.INSTANCE_ID, EntrySettings.FAILURE_DOMAIN, EntrySettings.PEERS, SEEDS);
+        EntrySettings.INSTANCE_ID,
+        EntrySettings.FAILURE_DOMAIN,
+        EntrySettings.PEERS,
+        EntrySettings.BEAT_MS,
+        SEEDS);
   }
 
   @Override
@@ -70,6 +74,9 @@
     context.subscribe(
         Broadcasts.CONFIGURATION,
         configuration -> ring.offerReserved(new ExchangeInput.Configured(configuration)));
+    context.subscribe(
+        Broadcasts.FOUND_PEERS,
+        found -> ring.offerReserved(new ExchangeInput.Found(found.members())));
   }
 
   @Override
--- a/entry/src/main/java/org/bergamotcross/entry/peer/PeerMessages.java
+++ b/entry/src/main/java/org/bergamotcross/entry/peer/PeerMessages.java
@@ -1,5 +1,6 @@
 package org.bergamotcross.entry.peer;
 
+import java.util.List;
 import org.bergamotcross.core.membership.FailureDomain;
 import org.bergamotcross.core.membership.InstanceId;
 import org.bergamotcross.core.membership.Member;
@@ -9,6 +10,9 @@
   /** The kind of {@link Hello}. */
   static final String HELLO = "hello";
 
+  /** The kind of {@link Peers}. */
+  static final String PEERS = "peers";
+
   /** The kind of {@link Beat}. */
   static final String BEAT = "beat";
 
@@ -21,14 +25,17 @@
    * @param incarnation its incarnation
    * @param failureDomain where it runs
    * @param peerAddress where it accepts peers, as {@code ip:port}
+   * @param asksForPeers whether the receiver shall tell which peers it knows
    */
-  record Hello(String id, long incarnation, String failureDomain, String peerAddress) {
-    static Hello of(Member member) {
+  record Hello(
+      String id, long incarnation, String failureDomain, String peerAddress, boolean asksForPeers) {
+    static Hello of(Member member, boolean asksForPeers) {
       return new Hello(
           member.id().value(),
           member.incarnation(),
           member.failureDomain().value(),
-          member.peerAddress());
+          member.peerAddress(),
+          asksForPeers);
     }
 
     Member member() {
@@ -37,6 +44,18 @@
     }
   }
 
+  /**
+   * Tells which peers the sender knows.
+   *
+   * @param peers the peers
+   */
+  record Peers(List<Hello> peers) {
+    /** Copies the list. */
+    Peers {
+      peers = List.copyOf(peers);
+    }
+  }
+
   /**
    * Shows that the sender runs and which of the receiver's beats it has heard.
    *
--- a/entry/src/main/java/org/bergamotcross/entry/peer/PeerTable.java
+++ b/entry/src/main/java/org/bergamotcross/entry/peer/PeerTable.java
@@ -5,12 +5,14 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.bergamotcross.core.membership.InstanceId;
 import org.bergamotcross.core.membership.Member;
 import org.bergamotcross.core.membership.Members;
+import org.bergamotcross.core.membership.PeerView;
 import org.bergamotcross.kernel.Now;
 
 /**
@@ -23,6 +25,9 @@
   /** How long an instance that is no member stays known without being heard. */
   static final Duration STRANGER_RETENTION = Duration.ofSeconds(30);
 
+  /** How long a silent peer may still use its part of the fleet's limits. */
+  static final Duration KNOWN_RETENTION = Duration.ofSeconds(6);
+
   // 32 beats of 500 ms cover 16 s, more than five times the time for which an echo counts.
   private static final int SENT_BEATS = 32;
 
@@ -34,6 +39,7 @@
     boolean introduced;
     long heardSequence;
     long sentSequence;
+    Optional<Now> echoedAt = Optional.empty();
     final Deque<SentBeat> sent = new ArrayDeque<>();
 
     Peer(Member member, Now heardAt) {
@@ -97,6 +103,30 @@
     peer.heardAt = now;
   }
 
+  /**
+   * Takes an instance that somebody else names; what it says of itself goes before.
+   *
+   * @param member the instance
+   * @param now the present time
+   * @return whether it was unknown
+   */
+  boolean find(Member member, Now now) {
+    if (member.id().equals(self) || peers.containsKey(member.id())) {
+      return false;
+    }
+    peers.put(member.id(), new Peer(member, now));
+    return true;
+  }
+
+  /**
+   * Returns what is known of all peers.
+   *
+   * @return the peers
+   */
+  List<Member> members() {
+    return peers.values().stream().map(peer -> peer.member).toList();
+  }
+
   /**
    * Makes the next beat for a peer.
    *
@@ -142,10 +172,44 @@
     if (beat.echoIncarnation() != ownIncarnation) {
       return Optional.empty();
     }
-    return peer.sent.stream()
-        .filter(sent -> sent.sequence() == beat.echoSequence())
-        .map(SentBeat::at)
-        .findFirst();
+    Optional<Now> sentAt =
+        peer.sent.stream()
+            .filter(sent -> sent.sequence() == beat.echoSequence())
+            .map(SentBeat::at)
+            .findFirst();
+    sentAt.ifPresent(at -> peer.echoedAt = Optional.of(now));
+    return sentAt;
+  }
+
+  /**
+   * Notes that a peer has ended: its address refuses connections.
+   *
+   * @param address the address
+   */
+  void ended(String address) {
+    peers.values().stream()
+        .filter(peer -> peer.member.peerAddress().equals(address))
+        .forEach(peer -> peer.echoedAt = Optional.empty());
+  }
+
+  /**
+   * Returns which peers answer.
+   *
+   * @param heardWithin the age of the last echo of a peer that is heard
+   * @param now the present time
+   * @return the peers
+   */
+  PeerView view(Duration heardWithin, Now now) {
+    Set<InstanceId> heard = new HashSet<>();
+    int known = 0;
+    for (Map.Entry<InstanceId, Peer> entry : peers.entrySet()) {
+      Optional<Duration> age = entry.getValue().echoedAt.map(now::since);
+      if (age.filter(a -> a.compareTo(heardWithin) <= 0).isPresent()) {
+        heard.add(entry.getKey());
+      }
+      known += age.filter(a -> a.compareTo(KNOWN_RETENTION) <= 0).isPresent() ? 1 : 0;
+    }
+    return new PeerView(heard, known);
   }
 
   /**
--- a/entry/src/main/java/org/bergamotcross/entry/platform/PekkoPlatformClient.java
+++ b/entry/src/main/java/org/bergamotcross/entry/platform/PekkoPlatformClient.java
@@ -1,7 +1,5 @@
 package org.bergamotcross.entry.platform;
 
-import static java.util.concurrent.TimeUnit.MILLISECONDS;
-
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.MissingNode;
@@ -15,20 +13,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.TimeoutException;
 import org.apache.pekko.actor.ActorSystem;
-import org.apache.pekko.http.javadsl.Http;
 import org.apache.pekko.http.javadsl.model.ContentTypes;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
-import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.model.headers.RawHeader;
-import org.apache.pekko.http.javadsl.settings.ClientConnectionSettings;
-import org.apache.pekko.http.javadsl.settings.ConnectionPoolSettings;
 import org.apache.pekko.stream.StreamTcpException;
 import org.apache.pekko.util.ByteString;
-import scala.concurrent.duration.FiniteDuration;
+import org.bergamotcross.entry.platform.HttpCalls.Answer;
 
 /**
  * Talks HTTP/JSON with the platform through Pekko HTTP.
@@ -37,29 +29,19 @@
  * that repeats decides with what it knows. Each request ends within its time limit.
  */
 public final class PekkoPlatformClient implements PlatformClient {
-  // Failure domains are about 1 ms apart, so a second is enough to call a connection dead.
-  private static final long CONNECT_LIMIT_MS = 1_000;
   private static final Duration ANSWER_LIMIT = Duration.ofSeconds(2);
   // Ends connections of requests that were given up; longer than the longest read.
-  private static final long IDLE_LIMIT_MS = 6_000;
+  private static final Duration IDLE_LIMIT = Duration.ofSeconds(6);
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
-  private final ActorSystem system;
-  private final Http http;
-  private final ConnectionPoolSettings pool;
-  private final String base;
+  private final HttpCalls calls;
   private final RawHeader instance;
   private final Runnable onClose;
 
-  private record Answer(int status, ByteString body) {}
-
   private PekkoPlatformClient(
       ActorSystem system, InetSocketAddress address, String instanceId, Runnable onClose) {
     this.onClose = onClose;
-    this.system = system;
-    this.http = Http.get(system);
-    this.pool = poolSettings(system);
-    this.base = "http://" + address.getAddress().getHostAddress() + ":" + address.getPort();
+    this.calls = new HttpCalls(system, address, IDLE_LIMIT);
     this.instance = RawHeader.create("X-Instance", instanceId);
   }
 
@@ -96,25 +78,10 @@
     return new PekkoPlatformClient(system, address, instanceId, system::terminate);
   }
 
-  private static ConnectionPoolSettings poolSettings(ActorSystem system) {
-    return ConnectionPoolSettings.create(system)
-        .withMaxRetries(0)
-        .withMinConnections(0)
-        .withMaxConnections(16)
-        .withMaxOpenRequests(64)
-        // The pool's own back-off would keep requests waiting after an outage has ended.
-        .withBaseConnectionBackoff(FiniteDuration.create(50, MILLISECONDS))
-        .withMaxConnectionBackoff(FiniteDuration.create(200, MILLISECONDS))
-        .withConnectionSettings(
-            ClientConnectionSettings.create(system)
-                .withConnectingTimeout(FiniteDuration.create(CONNECT_LIMIT_MS, MILLISECONDS))
-                .withIdleTimeout(FiniteDuration.create(IDLE_LIMIT_MS, MILLISECONDS)));
-  }
-
   @Override
   public CompletionStage<AppendResult> append(String stream, byte[] data) {
     HttpRequest request =
-        HttpRequest.POST(base + "/streams/" + stream + "/records")
+        HttpRequest.POST(calls.uri("/streams/" + stream + "/records"))
             .withEntity(ContentTypes.APPLICATION_OCTET_STREAM, data);
     return send(request, ANSWER_LIMIT)
         .thenApply(PekkoPlatformClient::appendResult)
@@ -124,32 +91,21 @@
   @Override
   public CompletionStage<ReadResult> read(String stream, long from, int max, Duration wait) {
     String query = "?from=" + from + "&max=" + max + "&waitMs=" + wait.toMillis();
-    HttpRequest request = HttpRequest.GET(base + "/streams/" + stream + "/records" + query);
+    HttpRequest request = HttpRequest.GET(calls.uri("/streams/" + stream + "/records" + query));
     return send(request, ANSWER_LIMIT.plus(wait))
         .thenApply(PekkoPlatformClient::readResult)
-        .exceptionally(failure -> new ReadResult.Unavailable(reason(failure)));
+        .exceptionally(failure -> new ReadResult.Unavailable(HttpCalls.reason(failure)));
   }
 
   @Override
   public CompletionStage<ListResult> instances() {
-    return send(HttpRequest.GET(base + "/instances"), ANSWER_LIMIT)
+    return send(HttpRequest.GET(calls.uri("/instances")), ANSWER_LIMIT)
         .thenApply(PekkoPlatformClient::listResult)
-        .exceptionally(failure -> new ListResult.Unavailable(reason(failure)));
+        .exceptionally(failure -> new ListResult.Unavailable(HttpCalls.reason(failure)));
   }
 
   private CompletableFuture<Answer> send(HttpRequest request, Duration limit) {
-    return http.singleRequest(
-            request.addHeader(instance), http.defaultClientHttpsContext(), pool, system.log())
-        .thenCompose(r -> strict(r, limit))
-        .toCompletableFuture()
-        .orTimeout(limit.toMillis(), MILLISECONDS);
-  }
-
-  private CompletionStage<Answer> strict(HttpResponse response, Duration limit) {
-    return response
-        .entity()
-        .toStrict(limit.toMillis(), system)
-        .thenApply(entity -> new Answer(response.status().intValue(), entity.getData()));
+    return calls.send(request.addHeader(instance), limit);
   }
 
   private static AppendResult appendResult(Answer answer) {
@@ -169,14 +125,14 @@
   }
 
   private static AppendResult appendFailure(Throwable failure) {
-    Throwable cause = cause(failure);
+    Throwable cause = HttpCalls.cause(failure);
     // A connection that was never made has carried no byte of the record.
     boolean unsent =
         cause instanceof StreamTcpException
             && String.valueOf(cause.getMessage()).contains("Connect(");
     return unsent
-        ? new AppendResult.Unavailable(reason(failure))
-        : new AppendResult.OutcomeUnknown(reason(failure));
+        ? new AppendResult.Unavailable(HttpCalls.reason(failure))
+        : new AppendResult.OutcomeUnknown(HttpCalls.reason(failure));
   }
 
   private static ReadResult readResult(Answer answer) {
@@ -270,17 +226,6 @@
         : "HTTP status " + answer.status();
   }
 
-  private static Throwable cause(Throwable failure) {
-    return failure instanceof CompletionException && failure.getCause() != null
-        ? failure.getCause()
-        : failure;
-  }
-
-  private static String reason(Throwable failure) {
-    Throwable cause = cause(failure);
-    return cause instanceof TimeoutException ? "no answer in time" : String.valueOf(cause);
-  }
-
   @Override
   public void close() {
     onClose.run();
--- a/kernel/src/main/java/org/bergamotcross/kernel/Kernel.java
+++ b/kernel/src/main/java/org/bergamotcross/kernel/Kernel.java
@@ -43,10 +43,14 @@
   /**
    * Finds the plug-ins on the class path.
    *
-   * @return the plug-ins in the order of the service files
+   * @return the plug-ins in the order of the service files, without those that another one replaces
    */
   public static List<Plugin> discoverPlugins() {
-    return ServiceLoader.load(Plugin.class).stream().map(ServiceLoader.Provider::get).toList();
+    List<Plugin> found =
+        ServiceLoader.load(Plugin.class).stream().map(ServiceLoader.Provider::get).toList();
+    Set<String> replaced = new LinkedHashSet<>();
+    found.forEach(plugin -> replaced.addAll(plugin.replaces()));
+    return found.stream().filter(plugin -> !replaced.contains(plugin.name())).toList();
   }
 
   /**
--- a/kernel/src/main/java/org/bergamotcross/kernel/Plugin.java
+++ b/kernel/src/main/java/org/bergamotcross/kernel/Plugin.java
@@ -1,6 +1,7 @@
 package org.bergamotcross.kernel;
 
 import java.util.List;
+import java.util.Set;
 
 /**
  * A part of a process that registers itself with the kernel.
@@ -34,6 +35,15 @@
     return List.of();
   }
 
+  /**
+   * Returns the plug-ins whose duty this one takes over; they are left out when it is found.
+   *
+   * @return the names of other plug-ins
+   */
+  default Set<String> replaces() {
+    return Set.of();
+  }
+
   /**
    * Returns checks that need more than one value.
    *
--- a/kernel/src/main/java/org/bergamotcross/kernel/Setting.java
+++ b/kernel/src/main/java/org/bergamotcross/kernel/Setting.java
@@ -1,6 +1,7 @@
 package org.bergamotcross.kernel;
 
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -93,6 +94,41 @@
         text -> readInteger(text).filter(value -> value >= min && value <= max));
   }
 
+  /**
+   * Describes a required decimal number.
+   *
+   * @param section the section
+   * @param key the key
+   * @param min the smallest right value
+   * @param max the largest right value
+   * @return the setting
+   */
+  public static Setting<Double> decimal(String section, String key, double min, double max) {
+    return new Setting<>(
+        section,
+        key,
+        "a number from " + min + " to " + max,
+        Optional.empty(),
+        text -> readDecimal(text).filter(value -> value >= min && value <= max));
+  }
+
+  /**
+   * Describes a required word out of a list.
+   *
+   * @param section the section
+   * @param key the key
+   * @param words the right values
+   * @return the setting
+   */
+  public static Setting<String> oneOf(String section, String key, List<String> words) {
+    return new Setting<>(
+        section,
+        key,
+        "one of " + String.join(", ", words),
+        Optional.empty(),
+        text -> Optional.of(text).filter(words::contains));
+  }
+
   /**
    * Makes the setting optional.
    *
@@ -126,6 +162,14 @@
     return Optional.of(new InetSocketAddress(matcher.group(1), port));
   }
 
+  private static Optional<Double> readDecimal(String text) {
+    try {
+      return Optional.of(Double.parseDouble(text)).filter(Double::isFinite);
+    } catch (NumberFormatException e) {
+      return Optional.empty();
+    }
+  }
+
   private static Optional<Integer> readInteger(String text) {
     try {
       return Optional.of(Integer.parseInt(text));
