Choose among enough targets for the load, near ones first, and tell path faults from target faults

A lossy path of one instance made a target failing for all instances.

Ruled out: the wait queue (no request queued) and the rate limits (only the organisation with the lowered rate was refused).

--- a/bench/src/main/java/org/bergamotcross/bench/HealthPolicy.java
+++ b/bench/src/main/java/org/bergamotcross/bench/HealthPolicy.java
@@ -16,6 +16,7 @@
 import org.bergamotcross.core.routing.HealthView;
 import org.bergamotcross.core.routing.InFlightCounts;
 import org.bergamotcross.core.routing.PoolHealth;
+import org.bergamotcross.core.routing.PoolLoad;
 import org.bergamotcross.core.routing.PoolReport;
 import org.bergamotcross.core.routing.SendResult;
 import org.bergamotcross.core.routing.TargetChooser;
@@ -39,7 +40,7 @@
   HealthPolicy(
       InstanceId self, FailureDomain domain, Pool pool, UniformRandomProvider random, Now now) {
     this.pool = pool;
-    this.chooser = new TargetChooser(domain, counts, new FailureRisk(), random);
+    this.chooser = new TargetChooser(domain, counts, new FailureRisk(), new PoolLoad(), random);
     this.health = new PoolHealth(self, 1, domain, pool, now);
   }
 
--- a/bench/src/main/java/org/bergamotcross/bench/RoutingSlopes.java
+++ b/bench/src/main/java/org/bergamotcross/bench/RoutingSlopes.java
@@ -15,6 +15,7 @@
 import org.bergamotcross.core.routing.HealthView;
 import org.bergamotcross.core.routing.InFlightCounts;
 import org.bergamotcross.core.routing.PoolHealth;
+import org.bergamotcross.core.routing.PoolLoad;
 import org.bergamotcross.core.routing.PoolReport;
 import org.bergamotcross.core.routing.SendResult;
 import org.bergamotcross.core.routing.TargetChooser;
@@ -100,6 +101,7 @@
             new FailureDomain("d0"),
             counts,
             new FailureRisk(),
+            new PoolLoad(),
             RandomSource.XO_RO_SHI_RO_128_PP.create(1));
     HealthView view = new HealthView(Map.of());
     return micros(CALLS, i -> chooser.choose(pool, view, true, Optional.empty(), at(1)));
--- a/core/src/main/java/org/bergamotcross/core/routing/TargetChooser.java
+++ b/core/src/main/java/org/bergamotcross/core/routing/TargetChooser.java
@@ -36,22 +36,30 @@
   /** The shortest time between two trials, so that one view can't start two of them. */
   static final Duration TRIAL_PAUSE = Duration.ofSeconds(1);
 
-  /** How long a target of doubtful standing is left alone by requests that may be repeated. */
-  static final Duration EXPLORE_AFTER = Duration.ofMillis(1_500);
+  /**
+   * The part of the slots that is taken on average in the targets that are chosen from; above it,
+   * requests begin to queue because their work times differ.
+   */
+  static final double WANTED_UTILIZATION = 0.5;
 
-  /** The same for requests that may not be repeated, because a failure of theirs is final. */
-  static final Duration EXPLORE_AFTER_NOT_IDEMPOTENT = Duration.ofMillis(3_500);
+  /** The least part of a pool that is chosen from, so that a few targets don't get all work. */
+  static final double LEAST_SHARE = 0.5;
 
-  /** The share of requests that explore; all instances together learn within a second or two. */
-  static final double EXPLORE_SHARE = 0.08;
+  /** Failing targets are used only when fewer than this part of the pool is left without them. */
+  static final double LEAST_SHARE_WITHOUT_FAILING = 0.35;
 
-  static final double EXPLORE_SHARE_NOT_IDEMPOTENT = 0.03;
+  /** How much more often a target in the own failure domain is drawn. */
+  static final double NEAR_WEIGHT = 8;
 
-  private record Candidate(Target target, double weight, int inFlight) {}
+  /** The utilization of a target up to which being near counts. */
+  static final double NEAR_UTILIZATION = 0.55;
+
+  private record Candidate(Target target, double weight, int inFlight, double risk) {}
 
   private final FailureDomain own;
   private final InFlightCounts inFlight;
   private final FailureRisk risks;
+  private final PoolLoad load;
   private final UniformRandomProvider random;
   private final Map<TargetId, Now> shedUntil = new HashMap<>();
   private final Map<TargetId, Now> trialUntil = new HashMap<>();
@@ -62,13 +70,19 @@
    * @param own the failure domain of the instance
    * @param inFlight the counts, kept by the caller
    * @param risks the estimates of the targets, kept by the caller
+   * @param load the work of the targets, kept by the caller
    * @param random the source of random numbers, seeded by the caller
    */
   public TargetChooser(
-      FailureDomain own, InFlightCounts inFlight, FailureRisk risks, UniformRandomProvider random) {
+      FailureDomain own,
+      InFlightCounts inFlight,
+      FailureRisk risks,
+      PoolLoad load,
+      UniformRandomProvider random) {
     this.own = own;
     this.inFlight = inFlight;
     this.risks = risks;
+    this.load = load;
     this.random = random;
   }
 
@@ -96,11 +110,7 @@
     if (eligible.isEmpty()) {
       return anyInUse(pool, health) ? new Choice.Busy() : new Choice.NoneInUse();
     }
-    Optional<Candidate> explored = explore(eligible, idempotent && previous.isEmpty(), now);
-    if (explored.isPresent()) {
-      return new Choice.Chosen(explored.get().target(), false, explored.get().inFlight());
-    }
-    eligible = bestStanding(eligible, now);
+    eligible = leastRisky(pool, eligible, now);
     Candidate first = draw(eligible);
     eligible.remove(first);
     Candidate best = eligible.isEmpty() ? first : better(first, draw(eligible));
@@ -139,53 +149,42 @@
           && isOver(shedUntil, target.id(), now)) {
         int known = inFlight.known(target.id(), now);
         if (known < pool.slots()) {
-          eligible.add(new Candidate(target, inUse.weight(), known));
+          double weight = inUse.weight() * nearWeight(pool, target, now);
+          eligible.add(new Candidate(target, weight, known, risks.risk(target.id(), now)));
         }
       }
     }
     return eligible;
   }
 
-  /** Sends a few requests to targets of which nothing recent is known, so that they come back. */
-  private Optional<Candidate> explore(List<Candidate> eligible, boolean idempotent, Now now) {
-    double share = idempotent ? EXPLORE_SHARE : EXPLORE_SHARE_NOT_IDEMPOTENT;
-    boolean hasSound =
-        eligible.stream().anyMatch(c -> standing(c, now) == FailureRisk.Standing.SOUND);
-    if (!hasSound || random.nextDouble() >= share) {
-      return Optional.empty();
+  /**
+   * Keeps the candidates of the least risk: all sound ones, and as many others as the work of the
+   * pool needs.
+   *
+   * <p>The others are tried again in this way. An estimate that has returned to what is usual is
+   * needed as soon as too few targets are sound.
+   */
+  private List<Candidate> leastRisky(Pool pool, List<Candidate> eligible, Now now) {
+    int size = pool.targets().size();
+    double forLoad = load.slotsTaken(pool, now) / (pool.slots() * WANTED_UTILIZATION);
+    double wanted = Math.max(forLoad, size * LEAST_SHARE);
+    List<Candidate> byRisk = new ArrayList<>(eligible);
+    byRisk.sort(Comparator.comparingDouble(Candidate::risk));
+    List<Candidate> kept = new ArrayList<>(byRisk.size());
+    for (Candidate candidate : byRisk) {
+      boolean needed =
+          switch (FailureRisk.standing(candidate.risk())) {
+            case SOUND -> true;
+            case DOUBTFUL -> kept.size() < wanted;
+            case FAILING -> kept.size() < size * LEAST_SHARE_WITHOUT_FAILING;
+          };
+      if (needed || kept.isEmpty()) {
+        kept.add(candidate);
+      }
     }
-    Duration after = idempotent ? EXPLORE_AFTER : EXPLORE_AFTER_NOT_IDEMPOTENT;
-    List<Candidate> doubtful =
-        eligible.stream()
-            .filter(c -> standing(c, now) == FailureRisk.Standing.DOUBTFUL)
-            .filter(
-                c ->
-                    risks
-                        .silence(c.target().id(), now)
-                        .filter(silence -> silence.compareTo(after) < 0)
-                        .isEmpty())
-            .toList();
-    return doubtful.isEmpty()
-        ? Optional.empty()
-        : Optional.of(doubtful.get(random.nextInt(doubtful.size())));
-  }
-
-  /** Keeps the candidates of the best standing; a busy one of them was left out before. */
-  private List<Candidate> bestStanding(List<Candidate> eligible, Now now) {
-    FailureRisk.Standing best =
-        eligible.stream()
-            .map(candidate -> standing(candidate, now))
-            .min(Comparator.naturalOrder())
-            .orElse(FailureRisk.Standing.DOUBTFUL);
-    List<Candidate> kept = new ArrayList<>(eligible);
-    kept.removeIf(candidate -> standing(candidate, now) != best);
     return kept;
   }
 
-  private FailureRisk.Standing standing(Candidate candidate, Now now) {
-    return risks.standing(candidate.target().id(), now);
-  }
-
   private static boolean isOver(Map<TargetId, Now> ends, TargetId target, Now now) {
     Now end = ends.get(target);
     if (end == null) {
@@ -198,6 +197,12 @@
     return true;
   }
 
+  /** Bytes between failure domains cost, and the way is longer; a busy near target is no gain. */
+  private double nearWeight(Pool pool, Target target, Now now) {
+    boolean isBusy = load.slotsTaken(pool.id(), target.id(), now) > pool.slots() * NEAR_UTILIZATION;
+    return target.failureDomain().equals(own) && !isBusy ? NEAR_WEIGHT : 1;
+  }
+
   private static boolean anyInUse(Pool pool, HealthView health) {
     return pool.targets().stream()
         .anyMatch(target -> health.status(target.id()) instanceof TargetStatus.InUse);
--- a/entry/src/main/java/org/bergamotcross/entry/duties/OutcomeSharing.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/OutcomeSharing.java
@@ -6,6 +6,8 @@
 import java.util.function.Consumer;
 import org.bergamotcross.core.config.TargetId;
 import org.bergamotcross.core.routing.FailureRisk;
+import org.bergamotcross.core.routing.FailureRisk.Standing;
+import org.bergamotcross.core.routing.PoolLoad;
 import org.bergamotcross.kernel.Now;
 
 /**
@@ -19,59 +21,71 @@
   static final Duration INTERVAL = Duration.ofMillis(1_500);
 
   private final FailureRisk risks;
+  private final PoolLoad load;
   private final Consumer<OutcomeMessage> peers;
   private final Map<String, Integer> completed = new HashMap<>();
   private final Map<String, Integer> failed = new HashMap<>();
+  private final Map<String, Integer> unreachable = new HashMap<>();
   private Now sentAt;
 
-  OutcomeSharing(FailureRisk risks, Consumer<OutcomeMessage> peers, Now now) {
+  OutcomeSharing(FailureRisk risks, PoolLoad load, Consumer<OutcomeMessage> peers, Now now) {
     this.risks = risks;
+    this.load = load;
     this.peers = peers;
     this.sentAt = now;
   }
 
   void succeeded(TargetId target, Now now) {
-    boolean isNews = risks.standing(target, now) != FailureRisk.Standing.SOUND;
-    risks.succeeded(target, 1, now);
-    completed.merge(target.value(), 1, Integer::sum);
-    if (isNews) {
-      send(now);
-    }
+    boolean isNews = risks.standing(target, now) != Standing.SOUND;
+    risks.succeeded(target, now);
+    load.ended(target, 1, now);
+    note(completed, target, isNews, now);
   }
 
   void failed(TargetId target, Now now) {
-    boolean isNews = risks.standing(target, now) != FailureRisk.Standing.FAILING;
+    boolean isNews = risks.standing(target, now) != Standing.FAILING;
     risks.failed(target, now);
-    failed.merge(target.value(), 1, Integer::sum);
+    note(failed, target, isNews, now);
+  }
+
+  void unreachable(TargetId target, Now now) {
+    boolean isNews = risks.standing(target, now) != Standing.FAILING;
+    risks.unreachable(target, now);
+    note(unreachable, target, isNews, now);
+  }
+
+  private void note(Map<String, Integer> counts, TargetId target, boolean isNews, Now now) {
+    counts.merge(target.value(), 1, Integer::sum);
     if (isNews) {
       send(now);
     }
   }
 
   void reported(OutcomeMessage message, Now now) {
-    message.completed().forEach((id, count) -> risks.succeeded(new TargetId(id), count, now));
     message
-        .failed()
+        .completed()
         .forEach(
             (id, count) -> {
-              for (int i = 0; i < count; i++) {
-                risks.failed(new TargetId(id), now);
-              }
+              risks.peerSucceeded(new TargetId(id), count, now);
+              load.ended(new TargetId(id), count, now);
             });
+    message.failed().keySet().forEach(id -> risks.failed(new TargetId(id), now));
+    message.unreachable().keySet().forEach(id -> risks.peerUnreachable(new TargetId(id), now));
   }
 
   /** Sends what has gathered when it is due. */
   void tick(Now now) {
-    boolean isEmpty = completed.isEmpty() && failed.isEmpty();
+    boolean isEmpty = completed.isEmpty() && failed.isEmpty() && unreachable.isEmpty();
     if (!isEmpty && now.since(sentAt).compareTo(INTERVAL) >= 0) {
       send(now);
     }
   }
 
   private void send(Now now) {
-    peers.accept(new OutcomeMessage(completed, failed));
+    peers.accept(new OutcomeMessage(completed, failed, unreachable));
     completed.clear();
     failed.clear();
+    unreachable.clear();
     sentAt = now;
   }
 }
--- a/entry/src/main/java/org/bergamotcross/entry/duties/RoutingDuty.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/RoutingDuty.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -16,11 +17,13 @@
 import org.bergamotcross.core.config.Pool;
 import org.bergamotcross.core.config.PoolId;
 import org.bergamotcross.core.config.Target;
+import org.bergamotcross.core.config.TargetId;
 import org.bergamotcross.core.membership.FailureDomain;
 import org.bergamotcross.core.routing.Choice;
 import org.bergamotcross.core.routing.FailureRisk;
 import org.bergamotcross.core.routing.HealthView;
 import org.bergamotcross.core.routing.InFlightCounts;
+import org.bergamotcross.core.routing.PoolLoad;
 import org.bergamotcross.core.routing.RetryDecision;
 import org.bergamotcross.core.routing.RetryPolicy;
 import org.bergamotcross.core.routing.SendResult;
@@ -57,6 +60,7 @@
   private final InFlightCounts counts = new InFlightCounts();
   private final TargetChooser chooser;
   private final FailureRisk risks = new FailureRisk();
+  private final PoolLoad load = new PoolLoad();
   private final OutcomeSharing outcomes;
   private final UsualDuration usual = new UsualDuration();
   private final RetryPolicy retries;
@@ -80,8 +84,8 @@
         context.settings().value(EntrySettings.RING_CAPACITY) / RING_MESSAGES_PER_ATTEMPT;
     UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
     FailureDomain own = new FailureDomain(context.settings().value(EntrySettings.FAILURE_DOMAIN));
-    this.outcomes = new OutcomeSharing(risks, peers, context.time().now());
-    this.chooser = new TargetChooser(own, counts, risks, random);
+    this.outcomes = new OutcomeSharing(risks, load, peers, context.time().now());
+    this.chooser = new TargetChooser(own, counts, risks, load, random);
     this.retries =
         new RetryPolicy(
             random,
@@ -266,7 +270,7 @@
     switch (event) {
       case SendEvent.Head head -> onHead(request, sent, head, now);
       case SendEvent.ConnectFailed ignored -> {
-        outcomes.failed(sent.target().id(), now);
+        outcomes.unreachable(sent.target().id(), now);
         onFailure(request, sent, new SendResult.ConnectFailed(), now);
       }
       case SendEvent.Shed shed -> {
@@ -274,7 +278,7 @@
         onFailure(request, sent, new SendResult.Shed(shed.retryAfter(), shed.draining()), now);
       }
       case SendEvent.Broken ignored -> {
-        outcomes.failed(sent.target().id(), now);
+        outcomes.unreachable(sent.target().id(), now);
         onFailure(request, sent, new SendResult.Broken(), now);
       }
       // No head came before, so that there is nothing to give to the caller.
@@ -308,6 +312,7 @@
     } else {
       outcomes.succeeded(sent.target().id(), now);
       usual.answered(request.admitted().route().name(), now.since(sent.startedAt()));
+      load.took(request.admitted().pool(), now.since(sent.startedAt()));
     }
   }
 
@@ -433,7 +438,7 @@
           && usual.isStalled(request.admitted().route().name(), sent.startedAt(), now)
           && request.noteStall()) {
         reports.stalled(request, sent, now);
-        outcomes.failed(sent.target().id(), now);
+        outcomes.unreachable(sent.target().id(), now);
         if (request.admitted().idempotent()
             && decide(request, sent, new SendResult.Broken(), now)
                 instanceof RetryDecision.Retry retry) {
@@ -509,11 +514,13 @@
     }
     known = present;
     retries.retain(present.pools().stream().map(Pool::id).toList());
-    risks.retain(
+    Set<TargetId> targets =
         present.pools().stream()
             .flatMap(pool -> pool.targets().stream())
             .map(Target::id)
-            .collect(Collectors.toSet()));
+            .collect(Collectors.toSet());
+    risks.retain(targets, now);
+    load.retain(targets);
     table
         .unsent(request -> isWithdrawn(request.admitted(), present))
         .forEach(request -> refuse(request, new Refusal.WithdrawnKey(), now));
