--- a/core/src/main/java/org/bergamotcross/core/routing/FailureRisk.java
+++ b/core/src/main/java/org/bergamotcross/core/routing/FailureRisk.java
@@ -57,7 +57,9 @@
 
   private static final double FAILURE_RATIO = FAILS_WHEN_FAILING / FAILS_WHEN_SOUND;
   private static final double SUCCESS_RATIO = (1 - FAILS_WHEN_FAILING) / (1 - FAILS_WHEN_SOUND);
-  private static final double LEAST = 0.002;
+
+  /** A sound target can have turned since its last answer. */
+  private static final double LEAST = 0.01;
 
   private record Estimate(double risk, Now at) {}
 
--- a/core/src/main/java/org/bergamotcross/core/routing/TargetChooser.java
+++ b/core/src/main/java/org/bergamotcross/core/routing/TargetChooser.java
@@ -43,18 +43,19 @@
   static final double WANTED_UTILIZATION = 0.5;
 
   /** The least part of a pool that is chosen from, so that a few targets don't get all work. */
-  static final double LEAST_SHARE = 0.5;
+  static final double LEAST_SHARE = 0.6;
 
   /** Failing targets are used only when fewer than this part of the pool is left without them. */
   static final double LEAST_SHARE_WITHOUT_FAILING = 0.35;
 
   /** How much more often a target in the own failure domain is drawn. */
-  static final double NEAR_WEIGHT = 8;
+  static final double NEAR_WEIGHT = 4;
 
   /** The utilization of a target up to which being near counts. */
   static final double NEAR_UTILIZATION = 0.55;
 
-  private record Candidate(Target target, double weight, int inFlight, double risk) {}
+  private record Candidate(
+      Target target, double weight, int inFlight, double risk, boolean isNear) {}
 
   private final FailureDomain own;
   private final InFlightCounts inFlight;
@@ -149,8 +150,9 @@
           && isOver(shedUntil, target.id(), now)) {
         int known = inFlight.known(target.id(), now);
         if (known < pool.slots()) {
-          double weight = inUse.weight() * nearWeight(pool, target, now);
-          eligible.add(new Candidate(target, weight, known, risks.risk(target.id(), now)));
+          boolean isNear = isNear(pool, target, now);
+          double weight = inUse.weight() * (isNear ? NEAR_WEIGHT : 1);
+          eligible.add(new Candidate(target, weight, known, risks.risk(target.id(), now), isNear));
         }
       }
     }
@@ -178,7 +180,7 @@
             case DOUBTFUL -> kept.size() < wanted;
             case FAILING -> kept.size() < size * LEAST_SHARE_WITHOUT_FAILING;
           };
-      if (needed || kept.isEmpty()) {
+      if (needed || kept.isEmpty() || kept.getLast().risk() == candidate.risk()) {
         kept.add(candidate);
       }
     }
@@ -198,9 +200,9 @@
   }
 
   /** Bytes between failure domains cost, and the way is longer; a busy near target is no gain. */
-  private double nearWeight(Pool pool, Target target, Now now) {
-    boolean isBusy = load.slotsTaken(pool.id(), target.id(), now) > pool.slots() * NEAR_UTILIZATION;
-    return target.failureDomain().equals(own) && !isBusy ? NEAR_WEIGHT : 1;
+  private boolean isNear(Pool pool, Target target, Now now) {
+    return target.failureDomain().equals(own)
+        && load.slotsTaken(pool.id(), target.id(), now) <= pool.slots() * NEAR_UTILIZATION;
   }
 
   private static boolean anyInUse(Pool pool, HealthView health) {
@@ -223,11 +225,10 @@
     return candidates.getLast();
   }
 
-  private Candidate better(Candidate first, Candidate second) {
+  private static Candidate better(Candidate first, Candidate second) {
     if (first.inFlight() != second.inFlight()) {
       return first.inFlight() < second.inFlight() ? first : second;
     }
-    boolean secondIsNear = second.target().failureDomain().equals(own);
-    return secondIsNear && !first.target().failureDomain().equals(own) ? second : first;
+    return second.isNear() && !first.isNear() ? second : first;
   }
 }
--- /dev/null
+++ b/core/src/test/java/org/bergamotcross/core/config/TargetDirectoryTest.java
@@ -0,0 +1,146 @@
+package org.bergamotcross.core.config;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Random;
+import org.bergamotcross.core.membership.FailureDomain;
+import org.bergamotcross.kernel.Now;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class TargetDirectoryTest {
+  private static final Now NOW = Now.ofMillis(10_000);
+  private static final PoolId POOL = new PoolId("orders");
+  private static final long START = 1_000;
+
+  private final TargetDirectory directory = new TargetDirectory();
+
+  private static TargetChange entry(
+      long offset, String id, int port, boolean draining, long start, long sequence) {
+    return new TargetChange.Published(
+        offset,
+        new TargetEntry(
+            new Target(new TargetId(id), "10.0.0.1", port, new FailureDomain("a")),
+            POOL,
+            4,
+            draining,
+            start < 0 ? OptionalLong.empty() : OptionalLong.of(start),
+            sequence));
+  }
+
+  private static TargetChange removed(long offset, String id, Duration patience) {
+    return new TargetChange.Removed(offset, new TargetId(id), patience);
+  }
+
+  private List<String> usable(Now now) {
+    return directory.usable(now).stream().map(e -> e.target().id().value()).toList();
+  }
+
+  @Nested
+  class Order {
+    // Guards against instances that end with different targets because messages came crossed.
+    @Test
+    void doesNotMatter() {
+      List<TargetChange> records =
+          new ArrayList<>(
+              List.of(
+                  entry(1, "a", 1, false, START, 1),
+                  entry(2, "b", 2, false, START, 1),
+                  entry(3, "a", 1, true, START, 2),
+                  removed(4, "b", Duration.ZERO),
+                  entry(5, "c", 3, false, START, 1),
+                  entry(6, "b", 2, false, START + 50, 1)));
+      for (int seed = 0; seed < 20; seed++) {
+        Collections.shuffle(records, new Random(seed));
+        TargetDirectory shuffled = new TargetDirectory();
+        records.forEach(record -> shuffled.apply(record, NOW));
+        records.forEach(record -> shuffled.apply(record, NOW));
+        assertThat(shuffled.usable(NOW).stream().map(e -> e.target().id().value()).toList())
+            .containsExactly("b", "c");
+      }
+    }
+
+    // Guards against work for a draining target whose earlier report was written late.
+    @Test
+    void ofReportsOfOneStartGoesBeforeTheOrderOfWriting() {
+      directory.apply(entry(1, "a", 1, true, START, 7), NOW);
+      directory.apply(entry(2, "a", 1, false, START, 6), NOW);
+      assertThat(usable(NOW)).isEmpty();
+      directory.apply(removed(3, "a", Duration.ZERO), NOW);
+      directory.apply(entry(4, "a", 1, false, START, 5), NOW);
+      assertThat(usable(NOW)).isEmpty();
+      directory.apply(entry(5, "a", 1, false, START + 1, 0), NOW);
+      assertThat(usable(NOW)).containsExactly("a");
+    }
+
+    // Guards against messages to all instances for each heartbeat.
+    @Test
+    void aSignOfLifeIsNoNews() {
+      assertThat(directory.apply(entry(1, "a", 1, false, START, 1), NOW)).isTrue();
+      assertThat(directory.apply(entry(2, "a", 1, false, START, 2), NOW)).isFalse();
+      assertThat(directory.apply(entry(3, "a", 1, true, START, 3), NOW)).isTrue();
+      assertThat(directory.apply(removed(4, "a", Duration.ZERO), NOW)).isTrue();
+    }
+  }
+
+  @Nested
+  class Patience {
+    // Guards against an empty pool after an outage in which all entries lapsed.
+    @Test
+    void keepsARemovedTargetUntilItsEnd() {
+      directory.apply(entry(1, "a", 1, false, START, 1), NOW);
+      directory.apply(removed(2, "a", Duration.ofSeconds(2)), NOW);
+      assertThat(usable(NOW.plus(Duration.ofMillis(1_999)))).containsExactly("a");
+      assertThat(directory.nextEnd(NOW)).hasValue(NOW.plus(Duration.ofSeconds(2)));
+      assertThat(usable(NOW.plus(Duration.ofSeconds(2)))).isEmpty();
+      directory.apply(entry(3, "a", 1, false, START, 9), NOW);
+      assertThat(usable(NOW.plus(Duration.ofMinutes(1)))).containsExactly("a");
+    }
+
+    // Guards against a draining target that gets work again because its entry lapsed.
+    @Test
+    void bringsNoDrainingTargetBack() {
+      directory.apply(entry(1, "a", 1, true, START, 1), NOW);
+      directory.apply(removed(2, "a", Duration.ofSeconds(2)), NOW);
+      assertThat(usable(NOW)).isEmpty();
+    }
+  }
+
+  @Nested
+  class Writers {
+    // Guards against a target that another service has replaced at its address.
+    @Test
+    void anAddressBelongsToTheLaterStart() {
+      directory.apply(entry(1, "old", 1, false, START, 9), NOW);
+      directory.apply(entry(2, "new", 1, false, START + 5_000, 1), NOW);
+      assertThat(usable(NOW)).containsExactly("new");
+    }
+
+    // Guards against a target that exists only in an entry of another writer.
+    @Test
+    void anEntryWithoutAStartIsLeftOutWhenOthersNameIt() {
+      directory.apply(entry(1, "forged", 2, false, -1, 1), NOW);
+      assertThat(usable(NOW)).containsExactly("forged");
+      directory.apply(entry(2, "a", 1, false, START, 1), NOW);
+      assertThat(usable(NOW)).containsExactly("a");
+    }
+
+    // Guards against a new instance that learns less from a peer than the peer knows.
+    @Test
+    void recordsRebuildTheDirectory() {
+      directory.apply(entry(1, "a", 1, false, START, 1), NOW);
+      directory.apply(entry(2, "b", 2, true, START, 1), NOW);
+      directory.apply(entry(3, "c", 3, false, START, 1), NOW);
+      directory.apply(removed(4, "c", Duration.ofSeconds(2)), NOW);
+      TargetDirectory copy = new TargetDirectory();
+      directory.records(NOW).forEach(record -> copy.apply(record, NOW));
+      assertThat(copy.usable(NOW).stream().map(e -> e.target().id().value()).toList())
+          .containsExactly("a");
+    }
+  }
+}
