Report a connection that was refused before its request was handed over

The connection was refused before the request was handed to it; send returned false, and nobody read the result. The event log shows route.chosen, then nothing until the deadline.

PlannedStopTest.UnderLoad ended with a reset connection, as it had twice before: closing the listener resets connections that wait to be accepted. The listener now stays open until the process ends and refuses requests.

CatalogDutyTest found that a failed read of the store counted as news, so that entries which lapsed in an outage were dropped at once.

--- a/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogDuty.java
+++ b/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogDuty.java
@@ -86,6 +86,7 @@
   private long targetsEnd;
   private long revision = -1;
   private Now lastNews;
+  private Now lastTry;
   private Now patienceUntil;
   private Optional<Now> settingsRetryAt;
   private Optional<Now> announceAt;
@@ -113,6 +114,7 @@
     this.turn = new ReadingTurn(self.id());
     Now now = context.time().now();
     this.lastNews = now.plus(NEWS_MISSING.negated());
+    this.lastTry = lastNews;
     this.patienceUntil = now;
     this.settingsRetryAt = Optional.of(now);
     this.announceAt = Optional.of(now);
@@ -141,7 +143,7 @@
       settingsRetryAt = Optional.empty();
       readSettings(now);
     }
-    if (!readingTargets && !now.isBefore(turn.due(peers, lastNews))) {
+    if (!readingTargets && !now.isBefore(readDue())) {
       readingTargets = true;
       source
           .targets(targetsEnd)
@@ -160,7 +162,7 @@
             settingsRetryAt,
             askAt,
             directory.nextEnd(now),
-            readingTargets ? Optional.<Now>empty() : Optional.of(turn.due(peers, lastNews)))
+            readingTargets ? Optional.<Now>empty() : Optional.of(readDue()))
         .flatMap(Optional::stream)
         .min(Comparator.naturalOrder())
         .map(due -> due.since(now))
@@ -169,6 +171,10 @@
         .orElse(IDLE);
   }
 
+  private Now readDue() {
+    return turn.due(peers, lastNews.isAfter(lastTry) ? lastNews : lastTry);
+  }
+
   private static boolean isDue(Optional<Now> at, Now now) {
     return at.filter(due -> !now.isBefore(due)).isPresent();
   }
@@ -269,7 +275,7 @@
       }
       case CatalogSource.TargetsRead.Unavailable unavailable -> {
         // The others read in their turn; this instance tries again in its own.
-        lastNews = now.plus(ReadingTurn.INTERVAL.negated());
+        lastTry = now;
         sourceLost("targets", unavailable.reason());
       }
     }
--- a/entry/src/main/java/org/bergamotcross/entry/http/FrontEnd.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/FrontEnd.java
@@ -112,14 +112,23 @@
   void stop(Broadcasts.Stopping announced) {
     stopping = true;
     if (announced.acceptUntil().isEmpty()) {
-      stop();
+      refuse();
     }
   }
 
-  /** Accepts no new connections and refuses new requests on open ones. */
-  void stop() {
+  private void refuse() {
     stopping = true;
     refusing = true;
+  }
+
+  /**
+   * Refuses all new requests and closes the listener.
+   *
+   * <p>Until then connections are still accepted, because closing the listener resets those that
+   * wait to be accepted, and their callers could not tell what became of their requests.
+   */
+  void stop() {
+    refuse();
     binding.get().ifPresent(ServerBinding::unbind);
   }
 
--- a/entry/src/main/java/org/bergamotcross/entry/http/TargetClient.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/TargetClient.java
@@ -68,11 +68,22 @@
     if (!sendOnIdle(spares, request.idempotent(), outgoing, attempt)) {
       TargetConnection fresh = new TargetConnection(target, settings, system, materializer);
       attempt.carriedBy(fresh);
-      fresh.send(outgoing, attempt);
+      sendOnFresh(fresh, outgoing, attempt);
     }
     return attempt;
   }
 
+  /**
+   * Sends on a connection that was just created. On a busy machine it can have been refused by now,
+   * and then nobody else reports the end.
+   */
+  static void sendOnFresh(
+      TargetConnection fresh, HttpRequest outgoing, TargetConnection.User user) {
+    if (!fresh.send(outgoing, user)) {
+      user.connectFailed();
+    }
+  }
+
   @Override
   public boolean isRepeatable(AdmittedRequest request) {
     return exchange(request).request().entity().isStrict();
--- /dev/null
+++ b/entry/src/test/java/org/bergamotcross/entry/catalog/CatalogDutyTest.java
@@ -0,0 +1,406 @@
+package org.bergamotcross.entry.catalog;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
+import org.bergamotcross.core.config.Configuration;
+import org.bergamotcross.core.config.Pool;
+import org.bergamotcross.core.config.PoolId;
+import org.bergamotcross.core.config.Target;
+import org.bergamotcross.core.config.TargetChange;
+import org.bergamotcross.core.config.TargetEntry;
+import org.bergamotcross.core.config.TargetId;
+import org.bergamotcross.core.membership.FailureDomain;
+import org.bergamotcross.core.membership.InstanceId;
+import org.bergamotcross.core.membership.Member;
+import org.bergamotcross.core.membership.PeerView;
+import org.bergamotcross.entry.Broadcasts;
+import org.bergamotcross.entry.CatalogSource;
+import org.bergamotcross.entry.PeerExchange;
+import org.bergamotcross.kernel.Kernel;
+import org.bergamotcross.kernel.Now;
+import org.bergamotcross.kernel.Offer;
+import org.bergamotcross.kernel.Settings;
+import org.bergamotcross.kernel.SettingsResult;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Plays a fleet of catalog duties in simulated time over one store that fails for some of them. */
+class CatalogDutyTest {
+  private static final PoolId POOL = new PoolId("orders");
+  private static final int INSTANCES = 6;
+  private static final int STEP_MS = 10;
+
+  private final Store store = new Store();
+  private final Fleet fleet = new Fleet(store);
+
+  @AfterEach
+  void close() {
+    fleet.nodes.forEach(node -> node.kernel.close());
+  }
+
+  private static TargetChange target(long offset, String id, boolean draining, long sequence) {
+    return new TargetChange.Published(
+        offset,
+        new TargetEntry(
+            new Target(new TargetId(id), "10.0.0.1", id.hashCode() & 0xfff, new FailureDomain("a")),
+            POOL,
+            4,
+            draining,
+            OptionalLong.of(1),
+            sequence));
+  }
+
+  /** The store: a list of records of targets and versions of settings. */
+  private static final class Store {
+    final List<TargetChange> records = new ArrayList<>();
+    final List<String> versions = new ArrayList<>();
+    final Set<Integer> turnedAway = new HashSet<>();
+    boolean down;
+    int targetReads;
+
+    void publish(String id, boolean draining, long sequence) {
+      records.add(target(records.size(), id, draining, sequence));
+    }
+
+    void remove(String id) {
+      records.add(new TargetChange.Removed(records.size(), new TargetId(id), Duration.ZERO));
+    }
+  }
+
+  /** One instance's way to the store; answers wait until the fleet delivers them. */
+  private static final class Source implements CatalogSource {
+    private final Store store;
+    private final int index;
+    final List<Runnable> answers = new ArrayList<>();
+    private final List<Runnable> waiting = new ArrayList<>();
+
+    Source(Store store, int index) {
+      this.store = store;
+      this.index = index;
+    }
+
+    private boolean fails() {
+      return store.down || store.turnedAway.contains(index);
+    }
+
+    @Override
+    public CompletionStage<SettingsRead> settings(long from, Duration wait) {
+      CompletableFuture<SettingsRead> read = new CompletableFuture<>();
+      waiting.add(() -> answerSettings(read, from));
+      return read;
+    }
+
+    private void answerSettings(CompletableFuture<SettingsRead> read, long from) {
+      if (fails()) {
+        answers.add(() -> read.complete(new SettingsRead.Unavailable("turned away")));
+      } else if (store.versions.size() > from) {
+        int newest = store.versions.size() - 1;
+        byte[] content = store.versions.get(newest).getBytes(StandardCharsets.UTF_8);
+        answers.add(
+            () ->
+                read.complete(
+                    new SettingsRead.Read(Optional.of(new Document(newest, content)), newest + 1)));
+      } else {
+        waiting.add(() -> answerSettings(read, from));
+      }
+    }
+
+    void poll() {
+      List<Runnable> due = List.copyOf(waiting);
+      waiting.clear();
+      due.forEach(Runnable::run);
+    }
+
+    @Override
+    public Decoded decode(Document document) {
+      String text = new String(document.content(), StandardCharsets.UTF_8);
+      return text.startsWith("v")
+          ? new Decoded.Right(
+              new CatalogSource.Settings(
+                  Long.parseLong(text.substring(1)),
+                  List.of(),
+                  List.of(),
+                  List.of(POOL),
+                  List.of()))
+          : new Decoded.Wrong("found " + text);
+    }
+
+    @Override
+    public CompletionStage<TargetsRead> targets(long from) {
+      store.targetReads++;
+      CompletableFuture<TargetsRead> read = new CompletableFuture<>();
+      if (fails()) {
+        answers.add(() -> read.complete(new TargetsRead.Unavailable("turned away")));
+      } else {
+        List<TargetChange> records =
+            List.copyOf(store.records.subList((int) from, store.records.size()));
+        long end = store.records.size();
+        answers.add(() -> read.complete(new TargetsRead.Read(records, end)));
+      }
+      return read;
+    }
+
+    @Override
+    public CompletionStage<Announced> announce(Member self) {
+      return new CompletableFuture<>();
+    }
+  }
+
+  private static final class Node {
+    final int index;
+    final Source source;
+    final Kernel kernel;
+    final List<CatalogInput> inbox = new ArrayList<>();
+    final CatalogDuty duty;
+    Configuration configuration = Configuration.EMPTY;
+    Now nextTick;
+
+    Node(int index, Store store, Fleet fleet) {
+      this.index = index;
+      this.source = new Source(store, index);
+      SettingsResult settings = Settings.parse("t.ini", "", List.of(), List.of());
+      this.kernel =
+          new Kernel(List.of(), ((SettingsResult.Loaded) settings).settings(), () -> fleet.now());
+      kernel.context().subscribe(Broadcasts.CONFIGURATION, next -> configuration = next);
+      this.nextTick = fleet.now();
+      this.duty =
+          new CatalogDuty(
+              new Member(id(index), 1, new FailureDomain("a"), ""),
+              source,
+              fleet.exchange(index),
+              kernel.context(),
+              inbox::add,
+              status -> {});
+    }
+
+    List<String> targets() {
+      return configuration.pool(POOL).map(Pool::targets).orElse(List.of()).stream()
+          .map(t -> t.id().value())
+          .sorted()
+          .toList();
+    }
+  }
+
+  private static InstanceId id(int index) {
+    return new InstanceId("entry-" + index);
+  }
+
+  /** Instances that hear each other, and the time they live in. */
+  private static final class Fleet {
+    final List<Node> nodes = new ArrayList<>();
+    private int millis = 1_000;
+
+    Fleet(Store store) {
+      for (int i = 0; i < INSTANCES; i++) {
+        nodes.add(new Node(i, store, this));
+      }
+      for (Node node : nodes) {
+        Set<InstanceId> others = new HashSet<>();
+        nodes.stream().filter(n -> n != node).forEach(n -> others.add(id(n.index)));
+        node.inbox.add(new CatalogInput.PeersChanged(new PeerView(others, others.size())));
+      }
+    }
+
+    Now now() {
+      return Now.ofMillis(millis);
+    }
+
+    PeerExchange exchange(int from) {
+      return new PeerExchange() {
+        @Override
+        public <T extends Record> void handle(String kind, Class<T> type, Handler<T> handler) {}
+
+        @Override
+        public Offer send(InstanceId to, String kind, Record message) {
+          nodes.stream()
+              .filter(node -> id(node.index).equals(to))
+              .forEach(node -> node.inbox.add(input(from, message)));
+          return new Offer.Accepted();
+        }
+
+        @Override
+        public void sendAll(String kind, Record message) {
+          nodes.stream()
+              .filter(node -> node.index != from)
+              .forEach(node -> node.inbox.add(input(from, message)));
+        }
+
+        @Override
+        public long incarnation() {
+          return 1;
+        }
+      };
+    }
+
+    private static CatalogInput input(int from, Record message) {
+      return switch (message) {
+        case CatalogMessages.News news -> new CatalogInput.News(id(from), news);
+        case CatalogMessages.Ask ask -> new CatalogInput.Ask(id(from), ask);
+        case CatalogMessages.State state -> new CatalogInput.State(id(from), state);
+        default -> throw new IllegalArgumentException(message + " is no catalog message");
+      };
+    }
+
+    void run(int forMs) {
+      for (int end = millis + forMs; millis < end; millis += STEP_MS) {
+        for (Node node : nodes) {
+          node.source.poll();
+          List.copyOf(node.source.answers).forEach(Runnable::run);
+          node.source.answers.clear();
+          List<CatalogInput> due = List.copyOf(node.inbox);
+          node.inbox.clear();
+          due.forEach(input -> node.duty.onMessage(input, now()));
+          if (!due.isEmpty() || !now().isBefore(node.nextTick)) {
+            node.nextTick = now().plus(node.duty.onTick(now()));
+          }
+        }
+      }
+    }
+
+    void forEach(Consumer<Node> check) {
+      nodes.forEach(check);
+    }
+  }
+
+  @Nested
+  class CalmStore {
+    @Test
+    void givesAllInstancesTheSameTargets() {
+      store.versions.add("v1");
+      store.publish("a", false, 1);
+      store.publish("b", false, 1);
+      fleet.run(1_000);
+      fleet.forEach(node -> assertThat(node.targets()).containsExactly("a", "b"));
+    }
+
+    // Guards against a price that grows with the instances.
+    @Test
+    void isReadByOneInstanceAtATime() {
+      store.versions.add("v1");
+      store.publish("a", false, 1);
+      fleet.run(2_000);
+      int before = store.targetReads;
+      for (int i = 0; i < 20; i++) {
+        store.publish("a", false, i + 2);
+        fleet.run(500);
+      }
+      assertThat(store.targetReads - before).isAtMost(30);
+    }
+
+    // Guards against work for a draining target for longer than 2 s.
+    @Test
+    void tellsOfADrainingTargetInTime() {
+      store.versions.add("v1");
+      store.publish("a", false, 1);
+      store.publish("b", false, 1);
+      fleet.run(2_000);
+      store.publish("a", true, 2);
+      fleet.run(1_000);
+      fleet.forEach(node -> assertThat(node.targets()).containsExactly("b"));
+    }
+  }
+
+  @Nested
+  class PartOfTheFleetTurnedAway {
+    // Guards against instances that go on with old targets because the store refuses just them.
+    @Test
+    void followsTheOthers() {
+      store.versions.add("v1");
+      store.publish("a", false, 1);
+      store.publish("b", false, 1);
+      fleet.run(2_000);
+      for (int only = 0; only < INSTANCES; only++) {
+        store.turnedAway.clear();
+        for (int i = 0; i < INSTANCES; i++) {
+          if (i != only) {
+            store.turnedAway.add(i);
+          }
+        }
+        fleet.run(1_000);
+        store.publish("a", only % 2 == 0, only + 2);
+        store.versions.add("v" + (only + 2));
+        fleet.run(2_000);
+        int reader = only;
+        fleet.forEach(
+            node ->
+                assertThat(node.targets())
+                    .containsExactlyElementsIn(reader % 2 == 0 ? List.of("b") : List.of("a", "b")));
+      }
+    }
+
+    // Guards against an instance that knows nothing because it started while it was turned away.
+    @Test
+    void learnsEverythingFromAPeer() {
+      store.versions.add("v1");
+      store.publish("a", false, 1);
+      store.turnedAway.add(3);
+      fleet.run(3_000);
+      assertThat(fleet.nodes.get(3).targets()).containsExactly("a");
+    }
+  }
+
+  @Nested
+  class Outage {
+    // Guards against empty pools after an outage in which the entries of live targets lapsed.
+    @Test
+    void keepsTargetsThatComeBackSoonAfterIt() {
+      store.versions.add("v1");
+      store.publish("a", false, 1);
+      store.publish("gone", false, 1);
+      fleet.run(2_000);
+      store.down = true;
+      fleet.run(4_000);
+      store.remove("a");
+      store.remove("gone");
+      store.down = false;
+      fleet.run(1_500);
+      fleet.forEach(node -> assertThat(node.targets()).containsExactly("a", "gone"));
+      store.publish("a", false, 2);
+      fleet.run(3_000);
+      fleet.forEach(node -> assertThat(node.targets()).containsExactly("a"));
+    }
+
+    // Guards against the same patience without an outage, when a missing target has left.
+    @Test
+    void isNotAssumedWithoutOne() {
+      store.versions.add("v1");
+      store.publish("a", false, 1);
+      store.publish("gone", false, 1);
+      fleet.run(2_000);
+      store.remove("gone");
+      fleet.run(1_000);
+      fleet.forEach(node -> assertThat(node.targets()).containsExactly("a"));
+    }
+  }
+
+  @Nested
+  class Versions {
+    // Guards against a version that reverts, or of which a part is in force.
+    @Test
+    void onlyRiseAndAreRight() {
+      store.versions.add("v5");
+      store.publish("a", false, 1);
+      fleet.run(1_000);
+      long before = fleet.nodes.getFirst().configuration.offset();
+      store.versions.add("cut short");
+      store.versions.add("v4");
+      fleet.run(1_000);
+      assertThat(fleet.nodes.getFirst().configuration.offset()).isEqualTo(before);
+      store.versions.add("v6");
+      fleet.run(1_000);
+      assertThat(fleet.nodes.getFirst().configuration.offset()).isEqualTo(before + 1);
+    }
+  }
+}
--- /dev/null
+++ b/entry/src/test/java/org/bergamotcross/entry/path/DeploymentHeadersTest.java
@@ -0,0 +1,226 @@
+package org.bergamotcross.entry.path;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Guards the settings by which a deployment brings its own names and promises of headers. */
+class DeploymentHeadersTest {
+  private static final String KEY = Caller.key(EntryProcess.KEY);
+  private static final String SECTIONS =
+      """
+      [headers]
+      request-id = X-Try
+      timeout = X-Patience-Ms
+      organisation = X-Customer
+      deadline = none
+      time-left = X-Patience-Ms
+      attempt = none
+      expected-target = X-Target
+      not-run = X-Untouched
+      [targets]
+      buffered-response-bytes = 1000
+      request-id-echoed = yes
+      responses-may-end-with-connection = yes
+      [callers]
+      retry-after-fractions = yes
+      """;
+
+  private static EntryProcess start(RawTarget... targets) throws Exception {
+    return EntryProcess.startWith(
+        SECTIONS, java.util.Arrays.stream(targets).map(RawTarget::port).toList());
+  }
+
+  private static String ok(RawTarget.Received request, String body) {
+    return "HTTP/1.1 200 OK\r\nX-Try: "
+        + request.header("x-try")
+        + "\r\nX-Seal: s\r\nContent-Length: "
+        + body.length()
+        + "\r\n\r\n"
+        + body;
+  }
+
+  @Nested
+  class Requests {
+    @Test
+    void carryTheConfiguredNamesAndTheCallersLine() throws Exception {
+      RawTarget.Behaviour seal = (connection, request) -> connection.write(ok(request, "x"));
+      try (RawTarget target = new RawTarget(seal);
+          EntryProcess entry = start(target);
+          Caller caller = new Caller(entry.port())) {
+        RawTarget.Received response =
+            caller.get(
+                "/team/open/a%2Fb?q=%20x&y",
+                KEY, "X-Try: t1", "X-Patience-Ms: 3000", "X-Customer: forged");
+        assertThat(response.header("x-seal")).isEqualTo("s");
+        assertThat(response.header("x-try")).isEqualTo("t1");
+        RawTarget.Received seen = target.received().getFirst();
+        assertThat(seen.head()).startsWith("GET /team/open/a%2Fb?q=%20x&y HTTP/1.1");
+        assertThat(seen.header("x-try")).isEqualTo("t1");
+        assertThat(seen.header("x-customer")).isEqualTo("team/customer");
+        assertThat(seen.header("x-target")).isEqualTo("target-" + target.port());
+        assertThat(Integer.parseInt(seen.header("x-patience-ms"))).isAtMost(3000);
+        assertThat(Integer.parseInt(seen.header("x-patience-ms"))).isAtLeast(1000);
+        assertThat(seen.header("authorization")).isEmpty();
+        assertThat(seen.header("x-attempt")).isEmpty();
+      }
+    }
+  }
+
+  @Nested
+  class WrongResponses {
+    /** Answers the first request in a wrong way and all later ones well. */
+    private RawTarget.Behaviour wrongOnce(RawTarget.Behaviour wrong) {
+      AtomicInteger requests = new AtomicInteger();
+      return (connection, request) -> {
+        if (requests.getAndIncrement() == 0) {
+          wrong.answer(connection, request);
+        } else {
+          connection.write(ok(request, "well"));
+        }
+      };
+    }
+
+    private void checkRepeated(RawTarget.Behaviour wrong) throws Exception {
+      try (RawTarget target = new RawTarget(wrongOnce(wrong));
+          EntryProcess entry = start(target);
+          Caller caller = new Caller(entry.port())) {
+        assertThat(caller.get("/team/open/r", KEY, "X-Try: t1").body()).isEqualTo("well");
+        assertThat(target.received()).hasSize(2);
+      }
+      try (RawTarget target = new RawTarget(wrongOnce(wrong));
+          EntryProcess entry = start(target);
+          Caller caller = new Caller(entry.port())) {
+        RawTarget.Received order = caller.send("POST", "/team/open/r", "", KEY, "X-Try: t1");
+        assertThat(Caller.refusal(order)).isEqualTo("target-failed/unknown");
+        assertThat(target.received()).hasSize(1);
+      }
+    }
+
+    // Guards against the response to an earlier request that arrives late.
+    @Test
+    void toAnotherRequestReachNobody() throws Exception {
+      checkRepeated(
+          (connection, request) ->
+              connection.write(ok(request, "late").replace("X-Try: t1", "X-Try: t0")));
+    }
+
+    @Test
+    void withoutTheIdReachNobody() throws Exception {
+      checkRepeated((connection, request) -> connection.write(RawTarget.ok("unnamed")));
+    }
+
+    // Guards against a caller that gets a part of a response which could have been asked for again.
+    @Test
+    void thatBreakOffReachNobody() throws Exception {
+      checkRepeated(
+          (connection, request) -> {
+            connection.write(ok(request, "0123456789").substring(0, 70));
+            connection.close();
+          });
+    }
+
+    // Guards against "not run" for an order that the target may have run.
+    @Test
+    void withoutThePromiseAreNoPromise() throws Exception {
+      RawTarget.Behaviour busy =
+          (connection, request) ->
+              connection.write(ok(request, "busy").replace("200 OK", "503 Busy"));
+      try (RawTarget target = new RawTarget(busy);
+          EntryProcess entry = start(target);
+          Caller caller = new Caller(entry.port())) {
+        RawTarget.Received order = caller.send("POST", "/team/open/r", "", KEY, "X-Try: t1");
+        assertThat(Caller.refusal(order)).isEqualTo("target-failed/unknown");
+        assertThat(Caller.status(order)).isEqualTo(502);
+      }
+    }
+  }
+
+  @Nested
+  class UnframedResponses {
+    @Test
+    void endWithTheirConnection() throws Exception {
+      RawTarget.Behaviour unframed =
+          (connection, request) -> {
+            connection.write(
+                ok(request, "whole").replace("Content-Length: 5\r\n", "Connection: close\r\n"));
+            connection.close();
+          };
+      try (RawTarget target = new RawTarget(unframed);
+          EntryProcess entry = start(target);
+          Caller caller = new Caller(entry.port())) {
+        RawTarget.Received response = caller.get("/team/open/r", KEY, "X-Try: t1");
+        assertThat(response.body()).isEqualTo("whole");
+        assertThat(response.header("content-length")).isEqualTo("5");
+      }
+    }
+
+    // Guards against a response that was reset on the way and looks whole.
+    @Test
+    void thatAreResetAreNotWhole() throws Exception {
+      RawTarget.Behaviour reset =
+          (connection, request) -> {
+            connection.write(
+                ok(request, "whole").replace("Content-Length: 5\r\n", "Connection: close\r\n"));
+            connection.socket().setSoLinger(true, 0);
+            connection.close();
+          };
+      try (RawTarget target = new RawTarget(reset);
+          EntryProcess entry = start(target);
+          Caller caller = new Caller(entry.port())) {
+        RawTarget.Received order = caller.send("POST", "/team/open/r", "", KEY, "X-Try: t1");
+        assertThat(Caller.refusal(order)).isEqualTo("target-failed/unknown");
+      }
+    }
+  }
+
+  @Nested
+  class Misdirected {
+    // Guards against an order that is lost because another target has the address now.
+    @Test
+    void requestsGoToAnotherTarget() throws Exception {
+      RawTarget.Behaviour misdirected =
+          (connection, request) ->
+              connection.write("HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n");
+      RawTarget.Behaviour right = (connection, request) -> connection.write(ok(request, "right"));
+      try (RawTarget wrong = new RawTarget(misdirected);
+          RawTarget target = new RawTarget(right);
+          EntryProcess entry = start(wrong, target);
+          Caller caller = new Caller(entry.port())) {
+        for (int i = 0; i < 4; i++) {
+          RawTarget.Received order = caller.send("POST", "/team/open/r" + i, "", KEY);
+          assertThat(order.body()).isEqualTo("right");
+        }
+        assertThat(target.received()).hasSize(4);
+      }
+    }
+  }
+
+  @Nested
+  class PlannedStop {
+    // Guards against callers that are refused before their load balancer can notice the stop.
+    @Test
+    void servesOnButAsksCallersToLeave() throws Exception {
+      RawTarget.Behaviour seal = (connection, request) -> connection.write(ok(request, "x"));
+      try (RawTarget target = new RawTarget(seal);
+          EntryProcess entry = start(target);
+          Caller open = new Caller(entry.port());
+          Caller idle = new Caller(entry.port())) {
+        assertThat(open.get("/team/open/a", KEY).header("connection")).isEmpty();
+        entry.stopButAccept(java.time.Duration.ofSeconds(5), java.time.Duration.ofSeconds(10));
+        RawTarget.Received response = open.get("/team/open/b", KEY);
+        assertThat(Caller.status(response)).isEqualTo(200);
+        assertThat(response.header("connection")).isEqualTo("close");
+        try (Caller late = new Caller(entry.port())) {
+          assertThat(Caller.status(late.get("/team/open/c", KEY))).isEqualTo(200);
+        }
+        entry.stop(java.time.Duration.ofSeconds(10));
+        RawTarget.Received refused = idle.get("/team/open/d", KEY);
+        assertThat(Caller.refusal(refused)).isEqualTo("stopping/not-run");
+        assertThat(refused.header("retry-after")).isEqualTo("0.050");
+      }
+    }
+  }
+}
--- a/entry/src/test/java/org/bergamotcross/entry/path/EntryProcess.java
+++ b/entry/src/test/java/org/bergamotcross/entry/path/EntryProcess.java
@@ -74,6 +74,21 @@
   static EntryProcess start(
       List<Integer> targets, int ringCapacity, int slots, Optional<Plugin> admission)
       throws Exception {
+    return start(targets, ringCapacity, slots, admission, "");
+  }
+
+  /** Starts an instance with further sections of settings. */
+  static EntryProcess startWith(String sections, List<Integer> targets) throws Exception {
+    return start(targets, 4096, 4, Optional.empty(), sections);
+  }
+
+  private static EntryProcess start(
+      List<Integer> targets,
+      int ringCapacity,
+      int slots,
+      Optional<Plugin> admission,
+      String sections)
+      throws Exception {
     int port = FreePorts.next();
     int operationsPort = FreePorts.next();
     String text =
@@ -93,7 +108,8 @@
         max-body-bytes = 100000
         max-timeout-ms = 10000
         """
-            .formatted(port, FreePorts.next(), operationsPort, ringCapacity);
+            .formatted(port, FreePorts.next(), operationsPort, ringCapacity)
+            .concat(sections);
     List<Plugin> plugins = new ArrayList<>();
     for (Plugin plugin : Kernel.discoverPlugins()) {
       if (isOnThePath(plugin)) {
@@ -158,6 +174,15 @@
         .publish(Broadcasts.FRESHNESS, new Freshness(now().plus(time), Freshness.Source.LOG));
   }
 
+  /** Starts a planned stop in which new requests are still served for a time. */
+  void stopButAccept(Duration accept, Duration limit) {
+    kernel
+        .context()
+        .publish(
+            Broadcasts.STOPPING,
+            new Broadcasts.Stopping(now().plus(limit), Optional.of(now().plus(accept))));
+  }
+
   /** Starts a planned stop. */
   void stop(Duration limit) {
     kernel.context().publish(Broadcasts.STOPPING, new Broadcasts.Stopping(now().plus(limit)));
