--- a/entry/src/main/java/org/bergamotcross/entry/ActorSystemPlugin.java
+++ b/entry/src/main/java/org/bergamotcross/entry/ActorSystemPlugin.java
@@ -42,6 +42,10 @@
             """
             pekko.loglevel = WARNING
             pekko.scheduler.tick-duration = 50ms
+            # They only move bytes; each further thread costs memory and wake-ups.
+            pekko.actor.default-dispatcher.fork-join-executor.parallelism-max = 2
+            pekko.actor.internal-dispatcher.fork-join-executor.parallelism-min = 1
+            pekko.actor.internal-dispatcher.fork-join-executor.parallelism-max = 1
             pekko.log-dead-letters = off
             pekko.coordinated-shutdown.run-by-jvm-shutdown-hook = off
             pekko.coordinated-shutdown.exit-jvm = off
--- a/entry/src/main/java/org/bergamotcross/entry/http/WarmUp.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/WarmUp.java
@@ -18,7 +18,7 @@
  * looked like a stall of the target and ejected a healthy one.
  */
 final class WarmUp {
-  private static final int REQUESTS = 20;
+  private static final int REQUESTS = 3;
   private static final Duration LIMIT = Duration.ofSeconds(5);
 
   private WarmUp() {}
--- a/kernel/src/main/java/org/bergamotcross/kernel/EventLog.java
+++ b/kernel/src/main/java/org/bergamotcross/kernel/EventLog.java
@@ -52,7 +52,11 @@
     try {
       while (!stopping || ring.size() > 0) {
         ring.poll(POLL).ifPresent(line -> LOGGER.atInfo().log("%s", line));
+        if (ring.size() == 0) {
+          Logging.flush();
+        }
       }
+      Logging.flush();
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
