Prefer near targets only where the load of the pool is known

The model does not report the load of peers, so that all instances of a domain drew the same near targets four times as often and overloaded them. An instance that has just started is in the same state.

--- a/core/src/main/java/org/bergamotcross/core/routing/PoolLoad.java
+++ b/core/src/main/java/org/bergamotcross/core/routing/PoolLoad.java
@@ -103,6 +103,16 @@
     return sum;
   }
 
+  /**
+   * Tells whether durations of a pool are known, without which its load can't be told.
+   *
+   * @param pool the pool
+   * @return whether a request of the pool has been answered
+   */
+  public boolean isKnown(PoolId pool) {
+    return seconds.containsKey(pool);
+  }
+
   /**
    * Forgets targets that are not configured any more.
    *
--- a/core/src/main/java/org/bergamotcross/core/routing/TargetChooser.java
+++ b/core/src/main/java/org/bergamotcross/core/routing/TargetChooser.java
@@ -151,7 +151,9 @@
         int known = inFlight.known(target.id(), now);
         if (known < pool.slots()) {
           boolean isNear = isNear(pool, target, now);
-          double weight = inUse.weight() * (isNear ? NEAR_WEIGHT : 1);
+          // All instances of a domain together can overload near targets whose load is unknown.
+          boolean isDrawnMore = isNear && load.isKnown(pool.id());
+          double weight = inUse.weight() * (isDrawnMore ? NEAR_WEIGHT : 1);
           eligible.add(new Candidate(target, weight, known, risks.risk(target.id(), now), isNear));
         }
       }
--- a/core/src/test/java/org/bergamotcross/core/routing/LeastRiskyChoiceTest.java
+++ b/core/src/test/java/org/bergamotcross/core/routing/LeastRiskyChoiceTest.java
@@ -91,6 +91,7 @@
     @Test
     void countsWhileTheNearTargetsHaveRoom() {
       sound(0, SIZE);
+      load.took(POOL.id(), Duration.ofMillis(400));
       Map<TargetId, Integer> counts = spread();
       int near = 0;
       for (int i = 0; i < SIZE; i += 3) {
@@ -99,10 +100,23 @@
       assertThat(near).isAtLeast(900);
     }
 
+    // Guards against instances of one domain that together overload near targets.
+    @Test
+    void doesNotCountWhileTheLoadIsUnknown() {
+      sound(0, SIZE);
+      Map<TargetId, Integer> counts = spread();
+      int near = 0;
+      for (int i = 0; i < SIZE; i += 3) {
+        near += counts.getOrDefault(Fixtures.id(i), 0);
+      }
+      assertThat(near).isAtMost(800);
+    }
+
     // Guards against near targets that are overloaded while far ones are idle.
     @Test
     void doesNotCountForBusyTargets() {
       sound(0, SIZE);
+      load.took(POOL.id(), Duration.ofMillis(400));
       for (int i = 0; i < SIZE; i += 3) {
         load.ended(Fixtures.id(i), 60, now);
       }
