--- a/core/src/main/java/org/bergamotcross/core/admission/OwnedRates.java
+++ b/core/src/main/java/org/bergamotcross/core/admission/OwnedRates.java
@@ -61,7 +61,9 @@
     Optional<OwnedBucket> owned = Optional.empty();
     Optional<OwnedBucket> unanswered = Optional.empty();
     Optional<Now> retryAt = Optional.empty();
+    Optional<InstanceId> askedOwner = Optional.empty();
     Now creditUntil = Now.ofMillis(0);
+    TokenOrigin creditOrigin = new TokenOrigin.Unlimited();
     int credit;
   }
 
@@ -70,6 +72,7 @@
   private final Map<OrganisationId, Account> accounts = new HashMap<>();
   private final Map<InstanceId, Now> suspects = new HashMap<>();
   private final List<PeerMessage> outbox = new ArrayList<>();
+  private final List<RateEvent> events = new ArrayList<>();
   private Configuration configuration = Configuration.EMPTY;
   private PeerView peers = PeerView.NONE;
   private int waitingRequests;
@@ -116,12 +119,12 @@
   @Override
   public RateDecision arrive(String requestId, Organisation organisation, Now deadline, Now now) {
     if (!organisation.isLimited()) {
-      return new RateDecision.Admitted();
+      return new RateDecision.Admitted(new TokenOrigin.Unlimited());
     }
     Account account = accounts.computeIfAbsent(organisation.id(), id -> new Account());
     account.demand.add(now);
     if (account.waiting.isEmpty() && takeCredit(account, now)) {
-      return new RateDecision.Admitted();
+      return new RateDecision.Admitted(account.creditOrigin);
     }
     if (waitingRequests >= waitCapacity) {
       return new RateDecision.Refused(new Refusal.Overloaded("rate-wait"));
@@ -181,6 +184,7 @@
     account.creditUntil = account.ask.get().sentAt().plus(CREDIT_LIFE);
     account.ask = Optional.empty();
     account.credit = grant.amount();
+    account.creditOrigin = new TokenOrigin.Bucket(from);
     account.retryAt =
         grant.retryMillis() > 0
             ? Optional.of(now.plus(Duration.ofMillis(grant.retryMillis())))
@@ -198,16 +202,22 @@
             }
           });
     }
-    List<PeerMessage> messages = List.copyOf(outbox);
+    RateStep step = new RateStep(outbox, ended, events);
     outbox.clear();
-    return new RateStep(messages, ended);
+    events.clear();
+    return step;
   }
 
   private void serve(OrganisationId id, Account account, List<RateStep.Ended> ended, Now now) {
     InstanceId owner = owner(id, now);
+    if (!account.askedOwner.equals(Optional.of(owner))) {
+      account.askedOwner = Optional.of(owner);
+      events.add(new RateEvent.OwnerChanged(id, owner, peers.heard().size(), peers.known()));
+    }
     if (owner.equals(self)) {
       account.ask = Optional.empty();
-      bucket(id, now).ifPresent(bucket -> grantLocally(account, bucket, now));
+      bucket(id, now)
+          .ifPresent(bucket -> grantLocally(account, bucket, new TokenOrigin.Bucket(self), now));
     } else {
       ask(id, account, owner, now);
     }
@@ -215,7 +225,9 @@
     refuse(id, account, ended, now);
   }
 
-  private static void grantLocally(Account account, OwnedBucket bucket, Now now) {
+  private static void grantLocally(
+      Account account, OwnedBucket bucket, TokenOrigin origin, Now now) {
+    account.creditOrigin = origin;
     account.credit = bucket.take(account.waiting.size(), account.waiting.size(), now);
     account.creditUntil = now.plus(CREDIT_LIFE);
     long retry = bucket.millisToToken(now);
@@ -227,8 +239,10 @@
     Optional<OpenAsk> open = account.ask;
     if (open.isPresent() && now.since(open.get().sentAt()).compareTo(ANSWER_LIMIT) >= 0) {
       suspects.put(open.get().owner(), now.plus(SUSPICION));
+      events.add(new RateEvent.AskUnanswered(id, open.get().owner()));
       account.ask = Optional.empty();
-      unansweredBucket(id, account, now).ifPresent(bucket -> grantLocally(account, bucket, now));
+      unansweredBucket(id, account, now)
+          .ifPresent(bucket -> grantLocally(account, bucket, new TokenOrigin.Unanswered(), now));
       return;
     }
     boolean due = account.retryAt.map(at -> !now.isBefore(at)).orElse(true);
@@ -246,7 +260,8 @@
   private void admit(Account account, List<RateStep.Ended> ended, Now now) {
     while (!account.waiting.isEmpty() && takeCredit(account, now)) {
       ended.add(
-          new RateStep.Ended(account.waiting.poll().requestId(), new RateDecision.Admitted()));
+          new RateStep.Ended(
+              account.waiting.poll().requestId(), new RateDecision.Admitted(account.creditOrigin)));
       waitingRequests--;
     }
   }
--- a/core/src/main/java/org/bergamotcross/core/admission/RateAdmission.java
+++ b/core/src/main/java/org/bergamotcross/core/admission/RateAdmission.java
@@ -81,7 +81,7 @@
     active.add(organisation.id());
     borrower.noteDemand(organisation.id(), now);
     if (waitList.waiting(organisation.id()) == 0 && borrower.take(organisation.id(), now)) {
-      return new RateDecision.Admitted();
+      return new RateDecision.Admitted(new TokenOrigin.Borrowed());
     }
     Optional<Refusal> refusal =
         waitList.offer(
@@ -134,7 +134,7 @@
     if (isFresh(now)) {
       admitWaiting(now, ended);
     }
-    return new RateStep(remote, ended);
+    return new RateStep(remote, ended, List.of());
   }
 
   private List<PeerMessage> deliverLocal(Now now) {
@@ -159,7 +159,10 @@
         waitList
             .poll(id)
             .ifPresent(
-                request -> ended.add(new RateStep.Ended(request, new RateDecision.Admitted())));
+                request ->
+                    ended.add(
+                        new RateStep.Ended(
+                            request, new RateDecision.Admitted(new TokenOrigin.Borrowed()))));
       }
     }
   }
--- a/core/src/test/java/org/bergamotcross/core/admission/OwnedRatesTest.java
+++ b/core/src/test/java/org/bergamotcross/core/admission/OwnedRatesTest.java
@@ -247,7 +247,7 @@
           new Organisation(
               ID, Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY, Optional.empty());
       assertThat(rates.arrive("r", unlimited, Now.ofMillis(10), Now.ofMillis(0)))
-          .isEqualTo(new RateDecision.Admitted());
+          .isEqualTo(new RateDecision.Admitted(new TokenOrigin.Unlimited()));
     }
   }
 }
--- a/entry/src/main/java/org/bergamotcross/entry/duties/AdmissionDuty.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/AdmissionDuty.java
@@ -268,7 +268,8 @@
 
   private void onRate(PendingRequest request, RateDecision decision, Now now) {
     switch (decision) {
-      case RateDecision.Admitted ignored -> {
+      case RateDecision.Admitted admitted -> {
+        request.admitBy(admitted.origin());
         if (request.needsClaim()) {
           startClaim(request, now);
         } else {
@@ -395,6 +396,7 @@
 
   private void step(Now now) {
     RateStep step = rates.step(now);
+    step.events().forEach(reports::rates);
     step.messages().forEach(message -> send(message, now));
     for (RateStep.Ended ended : List.copyOf(step.ended())) {
       pending.find(ended.requestId()).ifPresent(request -> onRate(request, ended.decision(), now));
--- a/entry/src/main/java/org/bergamotcross/entry/duties/AdmissionReports.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/AdmissionReports.java
@@ -4,7 +4,9 @@
 import com.codahale.metrics.Timer;
 import java.util.Optional;
 import org.bergamotcross.core.admission.Outcome;
+import org.bergamotcross.core.admission.RateEvent;
 import org.bergamotcross.core.admission.Refusal;
+import org.bergamotcross.core.admission.TokenOrigin;
 import org.bergamotcross.core.config.OrganisationId;
 import org.bergamotcross.entry.AdmittedRequest;
 import org.bergamotcross.kernel.EventLog;
@@ -36,10 +38,30 @@
         .with("route", pending.request().route().name())
         .with("pool", pending.request().pool())
         .with("reason", reason(pending))
+        .with("token-from", pending.token().map(TokenOrigin::text))
         .with("waited-us", now.since(pending.since()).toNanos() / 1_000)
         .emit();
   }
 
+  void rates(RateEvent change) {
+    switch (change) {
+      case RateEvent.OwnerChanged owner ->
+          events
+              .event("rates.owner")
+              .with("organisation", owner.organisation())
+              .with("owner", owner.owner())
+              .with("heard", owner.heard())
+              .with("known", owner.known())
+              .emit();
+      case RateEvent.AskUnanswered ask ->
+          events
+              .event("rates.unanswered")
+              .with("organisation", ask.organisation())
+              .with("owner", ask.owner())
+              .emit();
+    }
+  }
+
   private static String reason(PendingRequest pending) {
     if (pending.request().organisation().isEmpty()) {
       return "no-key-needed";
--- a/entry/src/main/java/org/bergamotcross/entry/duties/PendingRequest.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/PendingRequest.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.bergamotcross.core.admission.ClaimCoordinator;
+import org.bergamotcross.core.admission.TokenOrigin;
 import org.bergamotcross.entry.AdmittedRequest;
 import org.bergamotcross.kernel.Now;
 
@@ -12,6 +13,7 @@
   private final AdmittedRequest request;
   private final Now since;
   private Optional<ClaimCoordinator> claim = Optional.empty();
+  private Optional<TokenOrigin> token = Optional.empty();
 
   PendingRequest(String uniqueId, AdmittedRequest request, Now since) {
     this.uniqueId = uniqueId;
@@ -31,6 +33,15 @@
     return since;
   }
 
+  /** Returns where the token came from; nothing for a request that needs none. */
+  Optional<TokenOrigin> token() {
+    return token;
+  }
+
+  void admitBy(TokenOrigin origin) {
+    token = Optional.of(origin);
+  }
+
   Optional<ClaimCoordinator> claim() {
     return claim;
   }
