Take delegations through the reserved half of the admission ring

With half of the ring full of requests the answer of a peer was dropped. The exchange had confirmed it by then, so the peer gave the place of this holder to another one, while the holder went on with the lease that it knew, for up to 3 s. Found by reading; a full ring is not played by a test.

--- a/entry/src/main/java/org/bergamotcross/entry/duties/AdmissionPlugin.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/AdmissionPlugin.java
@@ -60,7 +60,8 @@
     // A lost one only lets the freshness end earlier.
     context.subscribe(
         Broadcasts.FRESHNESS, next -> ring.offerReserved(new AdmissionEvent.Confirmed(next)));
-    context.subscribe(Broadcasts.PEER_ECHO, echo -> ring.offer(new AdmissionEvent.PeerHeard(echo)));
+    context.subscribe(
+        Broadcasts.PEER_ECHO, echo -> ring.offerReserved(new AdmissionEvent.PeerHeard(echo)));
     context.subscribe(
         Broadcasts.PEER_STARTED, peer -> ring.offerReserved(new AdmissionEvent.PeerStarted(peer)));
     context.subscribe(
