Keep the directory that was read when a peer tells of another one

An instance that had read its own entry, but might not use its share yet, took the word of a peer that had not noticed the entry. It then gave its place up, entered itself again and waited for a lease more: two calls of the store and 3.5 s in which its share of each rate was unused. The list of a peer now stands in only for a directory that was not read. The test fails with the condition as it was (awaitsRegistration true).

--- a/entry/src/main/java/org/bergamotcross/entry/peer/ExchangeDuty.java
+++ b/entry/src/main/java/org/bergamotcross/entry/peer/ExchangeDuty.java
@@ -152,16 +152,7 @@
   }
 
   private void told(PeerMessages.Peers told, Now now) {
-    List<Member> members = told.peers().stream().map(PeerMessages.Hello::member).toList();
-    if (told.complete() && !peers.isDirectoryKnown()) {
-      list(members, told.registered(), now);
-      return;
-    }
-    boolean isNew = false;
-    for (Member member : members) {
-      isNew |= peers.find(member, now);
-    }
-    if (isNew) {
+    if (peers.told(told, now)) {
       maintainLinks(now);
     }
   }
@@ -273,7 +264,7 @@
       write(
           member.peerAddress(),
           PeerMessages.PEERS,
-          new PeerMessages.Peers(known, peers.isDirectoryKnown(), peers.isRegistered(member.id())));
+          new PeerMessages.Peers(known, peers.isShareUsable(), peers.isRegistered(member.id())));
     }
     if (isNew) {
       context.publish(Broadcasts.PEER_STARTED, member.id());
--- a/entry/src/main/java/org/bergamotcross/entry/peer/PeerTable.java
+++ b/entry/src/main/java/org/bergamotcross/entry/peer/PeerTable.java
@@ -177,11 +177,30 @@
   }
 
   /**
-   * Returns the directory as this instance knows it, for one that can't read it.
+   * Takes the peers that another instance knows; what the directory itself said goes before.
    *
-   * @return whether it is complete, so that it may be relied on
+   * @param told what it knows
+   * @param now the present time
+   * @return whether one of them was unknown
+   */
+  boolean told(PeerMessages.Peers told, Now now) {
+    List<Member> members = told.peers().stream().map(PeerMessages.Hello::member).toList();
+    if (told.complete() && !roster.isComplete()) {
+      return list(members, told.registered(), now);
+    }
+    boolean isNew = false;
+    for (Member member : members) {
+      isNew |= find(member, now);
+    }
+    return isNew;
+  }
+
+  /**
+   * Tells whether this instance may use its share; then it knows all others that may.
+   *
+   * @return whether its peers can rely on the instances that it knows
    */
-  boolean isDirectoryKnown() {
+  boolean isShareUsable() {
     return roster.isShareUsable();
   }
 
--- a/entry/src/test/java/org/bergamotcross/entry/peer/FleetRatesTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/peer/FleetRatesTest.java
@@ -295,8 +295,12 @@
     private static final int STEPS = 10;
 
     private void play(int size, double rate, double burst) {
+      play(size, 4, rate, burst);
+    }
+
+    private void play(int size, int domains, double rate, double burst) {
       for (int seed = 0; seed < 4; seed++) {
-        RatedFleet played = new RatedFleet(size, rate, burst, seed);
+        RatedFleet played = new RatedFleet(size, domains, rate, burst, seed);
         played.run(SETTLE_MS, 0);
         Random random = new Random(seed);
         for (int step = 0; step < STEPS; step++) {
@@ -319,6 +323,24 @@
       play(49, 3, 3);
     }
 
+    @Test
+    void inOneFailureDomainKeepTheLimit() {
+      play(12, 1, RATE, BURST);
+    }
+
+    @Test
+    void inOneFailureDomainHaveSeveralHolders() {
+      RatedFleet played = new RatedFleet(12, 1, RATE, BURST, SEED);
+      played.run(SETTLE_MS, 0);
+      played.run(2_000, RATE / 1.6);
+      played.freeze(played.owner(), 60_000);
+      int refused = played.refused();
+      int requests = played.requests();
+      played.run(5_000, RATE / 1.6);
+      double share = (double) (played.refused() - refused) / (played.requests() - requests);
+      assertThat(share).isAtMost(0.1);
+    }
+
     @Test
     void keepALimitThatIsSmallForEachInstance() {
       play(INSTANCES, 1, 1);
--- a/entry/src/test/java/org/bergamotcross/entry/peer/PeerTableTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/peer/PeerTableTest.java
@@ -104,6 +104,30 @@
     }
   }
 
+  @Nested
+  class DirectoryTold {
+    private final PeerMessages.Peers told =
+        new PeerMessages.Peers(List.of(PeerMessages.Hello.of(member(THEIRS), false)), true, false);
+
+    @Test
+    void standsInForOneThatCannotBeRead() {
+      table.told(told, Now.ofMillis(0));
+      assertThat(table.fleet(Now.ofMillis(0)).instances()).isEqualTo(2);
+    }
+
+    // A peer that has not noticed the entry of this instance must not make it enter itself again.
+    @Test
+    void doesNotReplaceTheOneThatWasRead() {
+      table.list(List.of(member(THEIRS)), true, Now.ofMillis(0));
+      table.introduce(member(THEIRS), Now.ofMillis(0));
+      table.told(told, Now.ofMillis(0));
+      sendBeats(3);
+      table.heard(PEER, THEIRS, beat(OWN, 2), OWN, Now.ofMillis(1_500));
+      assertThat(table.fleet(Now.ofMillis(1_500)).awaitsRegistration()).isFalse();
+      assertThat(table.isShareUsable()).isTrue();
+    }
+  }
+
   @Nested
   class Fleet {
     // A silent instance may be cut off and use its part of the retries and rates.
--- a/entry/src/test/java/org/bergamotcross/entry/peer/RatedFleet.java
+++ b/entry/src/test/java/org/bergamotcross/entry/peer/RatedFleet.java
@@ -61,6 +61,7 @@
   private final PriorityQueue<Delivery> network =
       new PriorityQueue<>(Comparator.comparingInt(Delivery::at).thenComparingLong(Delivery::order));
   private final Random random;
+  private final int domains;
   private final List<Integer> admittedAt = new ArrayList<>();
   private final List<TokenOrigin> origins = new ArrayList<>();
   private double rate;
@@ -73,6 +74,11 @@
   private int millis = 100_000;
 
   RatedFleet(int size, double rate, double burst, long seed) {
+    this(size, DOMAINS, rate, burst, seed);
+  }
+
+  RatedFleet(int size, int domains, double rate, double burst, long seed) {
+    this.domains = domains;
     this.rate = rate;
     this.burst = burst;
     this.random = new Random(seed);
@@ -129,7 +135,7 @@
       ticksFrom = millis;
       member =
           new Member(
-              id(index), ++incarnations, new FailureDomain("d" + index % DOMAINS), "host-" + index);
+              id(index), ++incarnations, new FailureDomain("d" + index % domains), "host-" + index);
       peers = new PeerTable(member, now());
       rates = new DelegatedRates(member.id(), WAIT_CAPACITY, TOLERANCE);
       fleet = FleetView.NONE;
@@ -238,7 +244,7 @@
     private void send(int to, Object content) {
       boolean lost = cutLinks.contains(List.of(index, to)) || random.nextDouble() < loss;
       if (!lost) {
-        int travel = index % DOMAINS == to % DOMAINS ? 1 : 2;
+        int travel = index % domains == to % domains ? 1 : 2;
         int at = millis + travel + slowMs + nodes.get(to).slowMs;
         network.add(new Delivery(at, sent++, index, to, content));
       }
