Derive the times of a planned stop from the platform's grace period

Change: [stop] grace, filled by the template; the limit lies 600 ms before its end, and requests are accepted for at most half of the time until the limit. The retry reserve and the tolerated requests take decimals.

--- a/entry/src/main/java/org/bergamotcross/entry/EntrySettings.java
+++ b/entry/src/main/java/org/bergamotcross/entry/EntrySettings.java
@@ -72,8 +72,8 @@
    * The number of retries of a pool within ten seconds that all instances together may make beyond
    * the share; 0 gives each instance its own reserve, regardless of the number of instances.
    */
-  public static final Setting<Integer> RETRY_FLEET_RESERVE =
-      Setting.integer("retries", "fleet-reserve", 0, 1_000_000).orDefault("0");
+  public static final Setting<Double> RETRY_FLEET_RESERVE =
+      Setting.decimal("retries", "fleet-reserve", 0, 1_000_000).orDefault("0");
 
   /** How instances share the rate limits of organisations. */
   public static final Setting<String> RATE_SHARING =
@@ -88,8 +88,8 @@
       Setting.decimal("rates", "tolerated-share", 0, 1).orDefault("0");
 
   /** The additional tolerated excess over a delegated rate in a window, in requests. */
-  public static final Setting<Integer> RATE_TOLERATED_REQUESTS =
-      Setting.integer("rates", "tolerated-requests", 0, 1_000_000).orDefault("0");
+  public static final Setting<Double> RATE_TOLERATED_REQUESTS =
+      Setting.decimal("rates", "tolerated-requests", 0, 1_000_000).orDefault("0");
 
   /** The time in ms for which an instance still accepts new requests after the shutdown signal. */
   public static final Setting<Integer> STOP_ACCEPT_MS =
@@ -99,6 +99,13 @@
   public static final Setting<Integer> STOP_LIMIT_MS =
       Setting.integer("stop", "limit-ms", 100, 600_000).orDefault("30000");
 
+  /**
+   * The time from the shutdown signal until the platform kills the process; the instance ends
+   * before that.
+   */
+  public static final Setting<Duration> STOP_GRACE =
+      Setting.duration("stop", "grace").orDefault("600s");
+
   /** The interval between heartbeats to each peer in ms. */
   public static final Setting<Integer> HEARTBEAT_INTERVAL_MS =
       Setting.integer("peers", "beat-ms", 100, 60_000).orDefault("500");
--- a/entry/src/main/java/org/bergamotcross/entry/GracefulShutdown.java
+++ b/entry/src/main/java/org/bergamotcross/entry/GracefulShutdown.java
@@ -8,7 +8,6 @@
 import org.bergamotcross.kernel.ClockReading;
 import org.bergamotcross.kernel.PluginContext;
 import org.bergamotcross.kernel.Ring;
-import org.bergamotcross.kernel.Setting;
 
 /**
  * Shuts an instance down gracefully: open requests are drained, new ones are refused.
@@ -64,8 +63,9 @@
   }
 
   private boolean drain() throws InterruptedException {
-    ClockReading limit = now().plus(millis(EntrySettings.STOP_LIMIT_MS));
-    acceptUntilNoticed(limit);
+    ShutdownSchedule schedule = ShutdownSchedule.of(context.settings());
+    ClockReading limit = now().plus(schedule.limit());
+    acceptUntilNoticed(schedule.accept(), limit);
     publishShutdown(limit, Optional.empty());
     boolean cut = false;
     while (openRequestCount() > 0 && now().isBefore(limit.plus(REFUSAL_WRITE_LIMIT))) {
@@ -85,8 +85,7 @@
   /**
    * Accepts new requests until load balancers have noticed the shutdown or a second signal arrives.
    */
-  private void acceptUntilNoticed(ClockReading limit) throws InterruptedException {
-    Duration accept = millis(EntrySettings.STOP_ACCEPT_MS);
+  private void acceptUntilNoticed(Duration accept, ClockReading limit) throws InterruptedException {
     if (!accept.isZero()) {
       publishShutdown(limit, Optional.of(now().plus(accept)));
       signals.poll(accept);
@@ -103,10 +102,6 @@
     context.publish(Broadcasts.SHUTDOWN, new Broadcasts.Shutdown(limit, acceptUntil));
   }
 
-  private Duration millis(Setting<Integer> setting) {
-    return Duration.ofMillis(context.settings().value(setting));
-  }
-
   /**
    * Waits for the connections to close: last responses are still written after their requests
    * ended.
--- a/entry/src/main/java/org/bergamotcross/entry/http/FrontEndPlugin.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/FrontEndPlugin.java
@@ -32,7 +32,8 @@
             EntrySettings.PLATFORM_ADDRESS,
             EntrySettings.MAX_BODY_BYTES,
             EntrySettings.STOP_ACCEPT_MS,
-            EntrySettings.STOP_LIMIT_MS));
+            EntrySettings.STOP_LIMIT_MS,
+            EntrySettings.STOP_GRACE));
     return all;
   }
 
