Obey targets that announce their departure or ask for a pause

Seen in the code: on the platform nothing read the header of a leaving target, because the health plug-in, which did, does not run there, and the template named no header. A Retry-After of a target counted for at most 2 s, whole seconds only, and delayed the request instead of the target. Change: TargetNotices in core keeps both. Leaving ends only with a later start of the target, which Target now carries, and is passed to the peers at once and to each peer that starts. A pause lasts as long as requested, bounded at 5 min, with a random delay of up to a quarter so that instances do not return together. A rejected request goes to another target at once; while all targets pause it is refused as not run, with the time of the first return, unless that is less than 300 ms away. A request whose usual duration reaches beyond the limit of a planned stop is refused as not run instead of being cut. RetryPolicyTest: a retry no longer waits for the Retry-After of the target that rejected it; TargetChooserTest now checks that this target gets nothing before.

--- a/bench/src/main/java/org/bergamotcross/bench/HealthRoutingPolicy.java
+++ b/bench/src/main/java/org/bergamotcross/bench/HealthRoutingPolicy.java
@@ -20,6 +20,7 @@
 import org.bergamotcross.core.routing.SendResult;
 import org.bergamotcross.core.routing.TargetChoice;
 import org.bergamotcross.core.routing.TargetChooser;
+import org.bergamotcross.core.routing.TargetNotices;
 import org.bergamotcross.core.routing.TargetStatus;
 import org.bergamotcross.kernel.ClockReading;
 
@@ -45,7 +46,13 @@
       ClockReading now) {
     this.pool = pool;
     this.chooser =
-        new TargetChooser(domain, inFlightCounts, new FailureRisk(), new PoolLoad(), random);
+        new TargetChooser(
+            domain,
+            inFlightCounts,
+            new FailureRisk(),
+            new PoolLoad(),
+            new TargetNotices(random),
+            random);
     this.health = new PoolHealth(self, 1, domain, pool, now);
   }
 
--- a/bench/src/main/java/org/bergamotcross/bench/RoutingSimulation.java
+++ b/bench/src/main/java/org/bergamotcross/bench/RoutingSimulation.java
@@ -260,6 +260,7 @@
           yield true;
         }
         case TargetChoice.AllBusy ignored -> false;
+        case TargetChoice.AllPaused ignored -> false;
         case TargetChoice.NoneAvailable ignored -> {
           request.finish(false, request.mayHaveRun);
           yield true;
--- a/bench/src/main/java/org/bergamotcross/bench/RoutingSlopes.java
+++ b/bench/src/main/java/org/bergamotcross/bench/RoutingSlopes.java
@@ -19,6 +19,7 @@
 import org.bergamotcross.core.routing.PoolLoad;
 import org.bergamotcross.core.routing.SendResult;
 import org.bergamotcross.core.routing.TargetChooser;
+import org.bergamotcross.core.routing.TargetNotices;
 import org.bergamotcross.kernel.ClockReading;
 
 /**
@@ -107,6 +108,7 @@
             counts,
             new FailureRisk(),
             new PoolLoad(),
+            new TargetNotices(RandomSource.XO_RO_SHI_RO_128_PP.create(2)),
             RandomSource.XO_RO_SHI_RO_128_PP.create(1));
     HealthView view = new HealthView(Map.of());
     return averageMicros(
--- a/core/src/main/java/org/bergamotcross/core/admission/Refusal.java
+++ b/core/src/main/java/org/bergamotcross/core/admission/Refusal.java
@@ -30,6 +30,7 @@
       case RateExceeded ignored -> "rate-exceeded";
       case Overloaded ignored -> "overloaded";
       case NoTarget ignored -> "no-target";
+      case TargetsPaused ignored -> "targets-paused";
       case Stopping ignored -> "stopping";
       case NotReady ignored -> "not-ready";
       case StaleConfiguration ignored -> "stale-configuration";
@@ -128,6 +129,14 @@
    */
   record NoTarget(String pool) implements Refusal {}
 
+  /**
+   * All targets of the pool that could run the request asked for a pause.
+   *
+   * @param pool the pool
+   * @param retryAfter the time until the first pause ends
+   */
+  record TargetsPaused(String pool, Duration retryAfter) implements Refusal {}
+
   /** The instance is stopping. */
   record Stopping() implements Refusal {}
 
--- a/core/src/main/java/org/bergamotcross/core/routing/RetryPolicy.java
+++ b/core/src/main/java/org/bergamotcross/core/routing/RetryPolicy.java
@@ -202,7 +202,7 @@
     if (!isRepeatable(attempt, result) || attempt.number() >= attempt.maxAttempts()) {
       return Optional.empty();
     }
-    Duration delay = delay(attempt.number(), result);
+    Duration delay = delay(attempt.number());
     if (!now.plus(delay).isBefore(attempt.deadline()) || !budget(attempt.pool()).tryTake()) {
       return Optional.empty();
     }
@@ -217,13 +217,10 @@
     };
   }
 
-  private Duration delay(int number, SendResult result) {
+  /** Does not depend on a Retry-After, which holds for its target only; see TargetNotices. */
+  private Duration delay(int number) {
     long limit = Math.min(MAX_DELAY.toNanos(), BASE_DELAY.toNanos() << (number - 1));
-    Duration jitter = Duration.ofNanos(random.nextLong(limit));
-    Optional<Duration> retryAfter =
-        result instanceof SendResult.Shed shed ? shed.retryAfter() : Optional.empty();
-    // Requests with the same Retry-After are spread by jitter, so that they do not return together.
-    return retryAfter.map(jitter::plus).orElse(jitter);
+    return Duration.ofNanos(random.nextLong(limit));
   }
 
   private static Refusal refusal(EndedAttempt attempt, SendResult result, ClockReading now) {
--- a/core/src/main/java/org/bergamotcross/core/routing/RouteLatency.java
+++ b/core/src/main/java/org/bergamotcross/core/routing/RouteLatency.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.bergamotcross.kernel.ClockReading;
 
 /** Tracks the mean latency of each route and derives its stall threshold. */
@@ -36,6 +37,17 @@
         (known, newest) -> known * (1 - EWMA_WEIGHT) + newest * EWMA_WEIGHT);
   }
 
+  /**
+   * Returns the mean latency of a route.
+   *
+   * @param route the name of the route
+   * @return the mean, empty until the first latency is known
+   */
+  public Optional<Duration> mean(String route) {
+    return Optional.ofNullable(meanNanos.get(route))
+        .map(nanos -> Duration.ofNanos(nanos.longValue()));
+  }
+
   /**
    * Returns the time after which a request counts as stalled.
    *
--- a/core/src/main/java/org/bergamotcross/core/routing/TargetChoice.java
+++ b/core/src/main/java/org/bergamotcross/core/routing/TargetChoice.java
@@ -1,6 +1,7 @@
 package org.bergamotcross.core.routing;
 
 import org.bergamotcross.core.config.Target;
+import org.bergamotcross.kernel.ClockReading;
 
 /** The result of choosing a target for one attempt. */
 public sealed interface TargetChoice {
@@ -18,6 +19,13 @@
   /** All available targets are at their limit or shed load, so the request is queued. */
   record AllBusy() implements TargetChoice {}
 
+  /**
+   * All targets that could run the request asked for a pause.
+   *
+   * @param until when the first pause ends
+   */
+  record AllPaused(ClockReading until) implements TargetChoice {}
+
   /** No target of the pool is available. */
   record NoneAvailable() implements TargetChoice {}
 }
--- a/core/src/main/java/org/bergamotcross/core/routing/TargetChooser.java
+++ b/core/src/main/java/org/bergamotcross/core/routing/TargetChooser.java
@@ -22,19 +22,12 @@
  * switch (chooser.choose(pool, health, idempotent, Optional.empty(), now)) {
  *   case TargetChoice.Chosen chosen -> send(chosen.target());
  *   case TargetChoice.AllBusy ignored -> queue.offer(...);
+ *   case TargetChoice.AllPaused paused -> refuse(new Refusal.TargetsPaused(...));
  *   case TargetChoice.NoneAvailable ignored -> refuse(new Refusal.NoTarget(pool.id().value()));
  * }
  * }</pre>
  */
 public final class TargetChooser {
-  /**
-   * Keeps a target that sheds immediately, and so looks idle, from drawing most of the requests.
-   */
-  static final Duration DEFAULT_SHED_COOLDOWN = Duration.ofMillis(100);
-
-  /** Limits the effect of a long Retry-After, which alone is no evidence of a fault. */
-  static final Duration MAX_SHED_COOLDOWN = Duration.ofSeconds(2);
-
   /** Keeps one health view from starting two trials of the same target. */
   static final Duration MIN_TRIAL_INTERVAL = Duration.ofSeconds(1);
 
@@ -69,8 +62,8 @@
   private final InFlightCounts inFlight;
   private final FailureRisk failureRisk;
   private final PoolLoad load;
+  private final TargetNotices notices;
   private final UniformRandomProvider random;
-  private final Map<TargetId, ClockReading> shedCooldownEnds = new HashMap<>();
   private final Map<TargetId, ClockReading> trialCooldownEnds = new HashMap<>();
 
   /**
@@ -80,6 +73,7 @@
    * @param inFlight the requests in flight, updated by the caller
    * @param failureRisk the failure risk of the targets, updated by the caller
    * @param load the load of the targets, updated by the caller
+   * @param notices what the targets announced, updated by the caller
    * @param random the source of random numbers, seeded by the caller
    */
   public TargetChooser(
@@ -87,11 +81,13 @@
       InFlightCounts inFlight,
       FailureRisk failureRisk,
       PoolLoad load,
+      TargetNotices notices,
       UniformRandomProvider random) {
     this.ownDomain = ownDomain;
     this.inFlight = inFlight;
     this.failureRisk = failureRisk;
     this.load = load;
+    this.notices = notices;
     this.random = random;
   }
 
@@ -124,9 +120,7 @@
       eligible = eligibleCandidates(pool, health, Optional.empty(), now);
     }
     if (eligible.isEmpty()) {
-      return isAnyAvailable(pool, health)
-          ? new TargetChoice.AllBusy()
-          : new TargetChoice.NoneAvailable();
+      return explainEmptyChoice(pool, health, now);
     }
     eligible = keepLowestRisk(pool, eligible, now);
     Candidate first = drawWeighted(eligible);
@@ -135,25 +129,13 @@
     return new TargetChoice.Chosen(best.target(), false, best.inFlight());
   }
 
-  /**
-   * Starts the cooldown of a target that has shed a request.
-   *
-   * @param target the target
-   * @param retryAfter the delay that the target asked for, if any
-   * @param now the current time
-   */
-  public void onShed(TargetId target, Optional<Duration> retryAfter, ClockReading now) {
-    Duration requested = retryAfter.orElse(DEFAULT_SHED_COOLDOWN);
-    Duration cooldown = requested.compareTo(MAX_SHED_COOLDOWN) > 0 ? MAX_SHED_COOLDOWN : requested;
-    shedCooldownEnds.put(target, now.plus(cooldown));
-  }
-
   private Optional<Target> findTrialTarget(
       Pool pool, HealthView health, Optional<TargetId> previous, ClockReading now) {
     return pool.targets().stream()
         .filter(target -> health.status(target.id()) instanceof TargetStatus.Trial)
         .filter(target -> inFlight.own(target.id()) == 0)
-        .filter(target -> isCooldownOver(trialCooldownEnds, target.id(), now))
+        .filter(target -> isTrialCooldownOver(target.id(), now))
+        .filter(target -> notices.notice(target, now).isEmpty())
         .filter(target -> previous.isEmpty())
         .findFirst();
   }
@@ -164,7 +146,7 @@
     for (Target target : pool.targets()) {
       if (health.status(target.id()) instanceof TargetStatus.Available available
           && !excluded.equals(Optional.of(target.id()))
-          && isCooldownOver(shedCooldownEnds, target.id(), now)) {
+          && notices.notice(target, now).isEmpty()) {
         int count = inFlight.total(target.id(), now);
         if (count < pool.slots()) {
           boolean isLocal = isLocal(pool, target, now);
@@ -207,17 +189,9 @@
     return kept;
   }
 
-  private static boolean isCooldownOver(
-      Map<TargetId, ClockReading> ends, TargetId target, ClockReading now) {
-    ClockReading end = ends.get(target);
-    if (end == null) {
-      return true;
-    }
-    if (now.isBefore(end)) {
-      return false;
-    }
-    ends.remove(target);
-    return true;
+  private boolean isTrialCooldownOver(TargetId target, ClockReading now) {
+    ClockReading end = trialCooldownEnds.get(target);
+    return end == null || !now.isBefore(end);
   }
 
   /**
@@ -230,9 +204,27 @@
         && load.occupiedSlots(pool.id(), target.id(), now) <= pool.slots() * MAX_LOCAL_UTILIZATION;
   }
 
-  private static boolean isAnyAvailable(Pool pool, HealthView health) {
-    return pool.targets().stream()
-        .anyMatch(target -> health.status(target.id()) instanceof TargetStatus.Available);
+  /**
+   * Tells why no target is eligible: a request waits for a busy target, but a target that asked for
+   * a pause does not become usable before its end.
+   */
+  private TargetChoice explainEmptyChoice(Pool pool, HealthView health, ClockReading now) {
+    Optional<ClockReading> firstPauseEnd = Optional.empty();
+    for (Target target : pool.targets()) {
+      if (health.status(target.id()) instanceof TargetStatus.Available) {
+        Optional<TargetNotice> notice = notices.notice(target, now);
+        if (notice.isEmpty()) {
+          return new TargetChoice.AllBusy();
+        }
+        if (notice.get() instanceof TargetNotice.Paused paused
+            && firstPauseEnd.filter(end -> !paused.until().isBefore(end)).isEmpty()) {
+          firstPauseEnd = Optional.of(paused.until());
+        }
+      }
+    }
+    return firstPauseEnd
+        .<TargetChoice>map(TargetChoice.AllPaused::new)
+        .orElseGet(TargetChoice.NoneAvailable::new);
   }
 
   private Candidate drawWeighted(List<Candidate> candidates) {
--- a/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogMessages.java
+++ b/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogMessages.java
@@ -133,7 +133,12 @@
       return new TargetChange.Published(
           offset,
           new TargetEntry(
-              new Target(target, host, port, new FailureDomain(failureDomain)),
+              new Target(
+                  target,
+                  host,
+                  port,
+                  new FailureDomain(failureDomain),
+                  Math.max(0, startedAtMillis)),
               new PoolId(pool),
               slots,
               draining,
--- a/entry/src/main/java/org/bergamotcross/entry/duties/OutcomeBroadcaster.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/OutcomeBroadcaster.java
@@ -3,11 +3,13 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.function.Consumer;
+import org.bergamotcross.core.config.Target;
 import org.bergamotcross.core.config.TargetId;
+import org.bergamotcross.core.membership.InstanceId;
 import org.bergamotcross.core.routing.FailureRisk;
 import org.bergamotcross.core.routing.FailureRisk.RiskLevel;
 import org.bergamotcross.core.routing.PoolLoad;
+import org.bergamotcross.core.routing.TargetNotices;
 import org.bergamotcross.kernel.ClockReading;
 
 /**
@@ -26,16 +28,23 @@
 
   private final FailureRisk risks;
   private final PoolLoad load;
-  private final Consumer<OutcomeMessage> peerSender;
+  private final TargetNotices notices;
+  private final OutcomeSender peerSender;
   private final Map<String, Integer> completed = new HashMap<>();
   private final Map<String, Integer> failed = new HashMap<>();
   private final Map<String, Integer> unreachable = new HashMap<>();
+  private final Map<String, Long> leaving = new HashMap<>();
   private ClockReading sentAt;
 
   OutcomeBroadcaster(
-      FailureRisk risks, PoolLoad load, Consumer<OutcomeMessage> peerSender, ClockReading now) {
+      FailureRisk risks,
+      PoolLoad load,
+      TargetNotices notices,
+      OutcomeSender peerSender,
+      ClockReading now) {
     this.risks = risks;
     this.load = load;
+    this.notices = notices;
     this.peerSender = peerSender;
     this.sentAt = now;
   }
@@ -59,6 +68,25 @@
     count(unreachable, target, isUrgent, now);
   }
 
+  /** Records that a target announced that it is leaving; returns whether this was not known. */
+  boolean onLeaving(Target target, ClockReading now) {
+    boolean isNew = notices.onLeaving(target, now);
+    if (isNew) {
+      leaving.put(target.id().value(), target.startedAtMillis());
+      send(now);
+    }
+    return isNew;
+  }
+
+  /** Passes the known leaving targets on to a peer that has started and knows none. */
+  void sendLeavingTargets(InstanceId peer) {
+    Map<String, Long> starts = new HashMap<>();
+    notices.leavingStarts().forEach((target, start) -> starts.put(target.value(), start));
+    if (!starts.isEmpty()) {
+      peerSender.send(peer, new OutcomeMessage(Map.of(), Map.of(), Map.of(), starts));
+    }
+  }
+
   private void count(
       Map<String, Integer> counts, TargetId target, boolean isUrgent, ClockReading now) {
     counts.merge(target.value(), 1, Integer::sum);
@@ -80,6 +108,7 @@
         .unreachable()
         .keySet()
         .forEach(id -> risks.recordPeerUnreachable(new TargetId(id), now));
+    message.leaving().forEach((id, start) -> notices.onLeaving(new TargetId(id), start, now));
   }
 
   /** Sends the collected outcomes if the interval has passed. */
@@ -91,10 +120,11 @@
   }
 
   private void send(ClockReading now) {
-    peerSender.accept(new OutcomeMessage(completed, failed, unreachable));
+    peerSender.sendAll(new OutcomeMessage(completed, failed, unreachable, leaving));
     completed.clear();
     failed.clear();
     unreachable.clear();
+    leaving.clear();
     sentAt = now;
   }
 }
--- a/entry/src/main/java/org/bergamotcross/entry/duties/OutcomeMessage.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/OutcomeMessage.java
@@ -9,9 +9,14 @@
  * @param failed the number of requests that each target itself answered with a failure, by target
  *     id
  * @param unreachable the number of requests that stalled or whose connection failed, by target id
+ * @param leaving the Unix time in ms of the start of each target that announced that it is leaving,
+ *     by target id; 0 if the start is unknown
  */
 record OutcomeMessage(
-    Map<String, Integer> completed, Map<String, Integer> failed, Map<String, Integer> unreachable) {
+    Map<String, Integer> completed,
+    Map<String, Integer> failed,
+    Map<String, Integer> unreachable,
+    Map<String, Long> leaving) {
   static final String KIND = "outcomes";
 
   /** Makes unmodifiable copies of the maps; a map that is missing in a message becomes empty. */
@@ -19,5 +24,6 @@
     completed = completed == null ? Map.of() : Map.copyOf(completed);
     failed = failed == null ? Map.of() : Map.copyOf(failed);
     unreachable = unreachable == null ? Map.of() : Map.copyOf(unreachable);
+    leaving = leaving == null ? Map.of() : Map.copyOf(leaving);
   }
 }
--- a/entry/src/main/java/org/bergamotcross/entry/duties/RoutingDuty.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/RoutingDuty.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -22,6 +21,7 @@
 import org.bergamotcross.core.routing.FailureRisk;
 import org.bergamotcross.core.routing.HealthView;
 import org.bergamotcross.core.routing.InFlightCounts;
+import org.bergamotcross.core.routing.PausedPoolPolicy;
 import org.bergamotcross.core.routing.PoolLoad;
 import org.bergamotcross.core.routing.RetryDecision;
 import org.bergamotcross.core.routing.RetryPolicy;
@@ -29,6 +29,7 @@
 import org.bergamotcross.core.routing.SendResult;
 import org.bergamotcross.core.routing.TargetChoice;
 import org.bergamotcross.core.routing.TargetChooser;
+import org.bergamotcross.core.routing.TargetNotices;
 import org.bergamotcross.core.routing.TargetStatus;
 import org.bergamotcross.entry.AdmittedRequest;
 import org.bergamotcross.entry.AttemptEvent;
@@ -54,6 +55,7 @@
   // An attempt has at most two events in the ring, and half of the ring is reserved for events.
   private static final int RING_MESSAGES_PER_ATTEMPT = 4;
   private static final int MIN_SERVER_ERROR_STATUS = 500;
+  private static final int SERVICE_UNAVAILABLE = 503;
 
   private final TargetSender sender;
   private final PublishedState publishedState;
@@ -65,6 +67,7 @@
   private final TargetChooser chooser;
   private final FailureRisk risks = new FailureRisk();
   private final PoolLoad load = new PoolLoad();
+  private final TargetNotices notices;
   private final OutcomeBroadcaster outcomes;
   private final RouteLatency usualDuration = new RouteLatency();
   private final RetryPolicy retries;
@@ -78,7 +81,7 @@
       Ring<RoutingMessage> ring,
       TargetSender sender,
       PublishedState publishedState,
-      Consumer<OutcomeMessage> peerSender) {
+      OutcomeSender peerSender) {
     this.sender = sender;
     this.publishedState = publishedState;
     this.ring = ring;
@@ -89,8 +92,9 @@
     UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
     FailureDomain ownDomain =
         new FailureDomain(context.settings().value(EntrySettings.FAILURE_DOMAIN));
-    this.outcomes = new OutcomeBroadcaster(risks, load, peerSender, context.time().now());
-    this.chooser = new TargetChooser(ownDomain, inFlightCounts, risks, load, random);
+    this.notices = new TargetNotices(random);
+    this.outcomes = new OutcomeBroadcaster(risks, load, notices, peerSender, context.time().now());
+    this.chooser = new TargetChooser(ownDomain, inFlightCounts, risks, load, notices, random);
     this.retries =
         new RetryPolicy(
             random,
@@ -159,6 +163,7 @@
                 received.report().peer(), received.report().averages(), now);
         case RoutingEvent.PeerOutcomesReceived received ->
             outcomes.onPeerOutcomes(received.outcomes(), now);
+        case RoutingEvent.PeerRestarted restarted -> outcomes.sendLeavingTargets(restarted.peer());
         case RoutingEvent.FleetChanged changed ->
             retries.updateInstanceCount(changed.view().instanceCount());
       }
@@ -218,6 +223,7 @@
         yield true;
       }
       case TargetChoice.AllBusy ignored -> false;
+      case TargetChoice.AllPaused paused -> waitOrRefuse(request, paused, now);
       case TargetChoice.NoneAvailable ignored -> {
         refuse(request, new Refusal.NoTarget(id.value()), now);
         yield true;
@@ -225,6 +231,18 @@
     };
   }
 
+  /** Refuses a request unless the first pause ends soon; returns false when it waits. */
+  private boolean waitOrRefuse(
+      RoutedRequest request, TargetChoice.AllPaused paused, ClockReading now) {
+    AdmittedRequest admitted = request.admitted();
+    if (PausedPoolPolicy.isWorthWaiting(paused.until(), admitted.deadline(), now)) {
+      return false;
+    }
+    Duration remaining = paused.until().since(now);
+    refuse(request, new Refusal.TargetsPaused(admitted.pool().value(), remaining), now);
+    return true;
+  }
+
   private TargetChoice choose(RoutedRequest request, Pool pool, ClockReading now) {
     return chooser.choose(
         pool,
@@ -240,8 +258,8 @@
    */
   private Optional<Refusal> refusalBeforeSend(RoutedRequest request, ClockReading now) {
     AdmittedRequest admitted = request.admitted();
-    // A slot freed by a cut request must not be used for another request.
-    if (publishedState.isStopLimitReached(now)) {
+    // Also keeps a slot freed by a cut request from being used for another one.
+    if (publishedState.isStopLimitReached(expectedEnd(admitted, now))) {
       return Optional.of(new Refusal.Stopping());
     }
     if (!now.isBefore(admitted.deadline())) {
@@ -255,6 +273,11 @@
         : Optional.of(new Refusal.StaleConfiguration());
   }
 
+  /** Returns when an attempt that starts now will usually have its response. */
+  private ClockReading expectedEnd(AdmittedRequest admitted, ClockReading now) {
+    return now.plus(usualDuration.mean(admitted.route().name()).orElse(Duration.ZERO));
+  }
+
   private void startAttempt(
       RoutedRequest request, TargetChoice.Chosen choice, int slots, ClockReading now) {
     if (request.stage() instanceof RoutedRequest.Stage.AwaitingTarget) {
@@ -300,7 +323,8 @@
         onFailure(request, sent, new SendResult.ConnectFailed(), now);
       }
       case AttemptEvent.RequestShed shed -> {
-        chooser.onShed(sent.target().id(), shed.retryAfter(), now);
+        recordLeaving(sent.target(), shed.draining(), now);
+        recordRejection(sent.target(), shed.retryAfter(), now);
         onFailure(request, sent, new SendResult.Shed(shed.retryAfter(), shed.draining()), now);
       }
       case AttemptEvent.ConnectionBroken ignored -> {
@@ -328,6 +352,10 @@
       ClockReading now) {
     SendResult.Completed result = new SendResult.Completed(head.status(), head.draining());
     recordResponse(request, sent, head.status(), now);
+    recordLeaving(sent.target(), head.draining(), now);
+    if (head.status() == SERVICE_UNAVAILABLE && head.retryAfter().isPresent()) {
+      recordRejection(sent.target(), head.retryAfter(), now);
+    }
     switch (decideRetry(request, sent, result, now)) {
       case RetryDecision.Retry retry -> {
         sent.sending().cancel();
@@ -340,6 +368,17 @@
     }
   }
 
+  private void recordLeaving(Target target, boolean leaving, ClockReading now) {
+    if (leaving && outcomes.onLeaving(target, now)) {
+      reporter.reportLeaving(target);
+    }
+  }
+
+  private void recordRejection(Target target, Optional<Duration> retryAfter, ClockReading now) {
+    notices.onRejected(target.id(), retryAfter, now);
+    retryAfter.ifPresent(pause -> reporter.reportPaused(target, pause));
+  }
+
   private void recordResponse(
       RoutedRequest request, RoutedRequest.Stage.Sent sent, int status, ClockReading now) {
     if (status >= MIN_SERVER_ERROR_STATUS) {
--- a/entry/src/main/java/org/bergamotcross/entry/duties/RoutingEvent.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/RoutingEvent.java
@@ -1,6 +1,7 @@
 package org.bergamotcross.entry.duties;
 
 import org.bergamotcross.core.membership.FleetView;
+import org.bergamotcross.core.membership.InstanceId;
 import org.bergamotcross.entry.AttemptEvent;
 import org.bergamotcross.entry.Broadcasts;
 import org.bergamotcross.entry.RoutingMessage;
@@ -32,6 +33,13 @@
    */
   record FleetChanged(FleetView view) implements RoutingEvent {}
 
+  /**
+   * A peer introduced itself for the first time or with a new incarnation.
+   *
+   * @param peer the peer
+   */
+  record PeerRestarted(InstanceId peer) implements RoutingEvent {}
+
   /**
    * A peer reported its in-flight requests.
    *
--- a/entry/src/main/java/org/bergamotcross/entry/duties/RoutingPlugin.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/RoutingPlugin.java
@@ -4,8 +4,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.function.Consumer;
 import org.bergamotcross.core.config.Configuration;
+import org.bergamotcross.core.membership.InstanceId;
 import org.bergamotcross.core.routing.HealthView;
 import org.bergamotcross.entry.Broadcasts;
 import org.bergamotcross.entry.EntrySettings;
@@ -58,6 +58,9 @@
         report -> ring.offer(new RoutingEvent.PeerInFlightReceived(report)));
     context.subscribe(
         Broadcasts.FLEET, view -> ring.offerReserved(new RoutingEvent.FleetChanged(view)));
+    context.subscribe(
+        Broadcasts.PEER_RESTARTED,
+        peer -> ring.offerReserved(new RoutingEvent.PeerRestarted(peer)));
     context.subscribe(Broadcasts.CONFIGURATION, configuration::set);
     context.subscribe(Broadcasts.HEALTH, health::set);
     context.subscribe(
@@ -85,9 +88,22 @@
                 OutcomeMessage.KIND,
                 OutcomeMessage.class,
                 (from, message) -> ring.offer(new RoutingEvent.PeerOutcomesReceived(message))));
-    Consumer<OutcomeMessage> peerSender =
-        message -> exchange.ifPresent(e -> e.sendAll(OutcomeMessage.KIND, message));
     context.startDuty(
-        Topics.ROUTING, new RoutingDuty(context, ring, sender, publishedState, peerSender));
+        Topics.ROUTING,
+        new RoutingDuty(context, ring, sender, publishedState, outcomeSender(exchange)));
+  }
+
+  private static OutcomeSender outcomeSender(Optional<PeerExchange> exchange) {
+    return new OutcomeSender() {
+      @Override
+      public void sendAll(OutcomeMessage message) {
+        exchange.ifPresent(peers -> peers.sendAll(OutcomeMessage.KIND, message));
+      }
+
+      @Override
+      public void send(InstanceId peer, OutcomeMessage message) {
+        exchange.ifPresent(peers -> peers.send(peer, OutcomeMessage.KIND, message));
+      }
+    };
   }
 }
--- a/entry/src/main/java/org/bergamotcross/entry/duties/RoutingReporter.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/RoutingReporter.java
@@ -6,8 +6,10 @@
 import org.bergamotcross.core.admission.ExecutionOutcome;
 import org.bergamotcross.core.admission.Refusal;
 import org.bergamotcross.core.admission.StoredResponse;
+import org.bergamotcross.core.config.Target;
 import org.bergamotcross.core.routing.SendResult;
 import org.bergamotcross.core.routing.TargetChoice;
+import org.bergamotcross.core.routing.TargetNotices;
 import org.bergamotcross.entry.AdmissionMessage;
 import org.bergamotcross.entry.HealthMessage;
 import org.bergamotcross.entry.Topics;
@@ -89,6 +91,25 @@
         .emit();
   }
 
+  /** Reports a target that announced in a response that it is leaving. */
+  void reportLeaving(Target target) {
+    events
+        .event("target.announced-leaving")
+        .with("target", target.id())
+        .with("started-at", target.startedAtMillis())
+        .emit();
+  }
+
+  /** Reports the pause that a target asked for when it rejected a request. */
+  void reportPaused(Target target, Duration requested) {
+    events
+        .event("target.paused")
+        .with("target", target.id())
+        .with("requested-ms", requested.toMillis())
+        .with("bounded", requested.compareTo(TargetNotices.MAX_PAUSE) > 0)
+        .emit();
+  }
+
   /** Reports a request that is refused without a response from a target. */
   void reportRefused(RoutedRequest request, Refusal refusal, ClockReading now) {
     events
