Pass on no request behind a response that closes the connection

Seen in the code: a request that a caller sent ahead was taken as soon as the previous response was complete, also when that response closed the connection. It would have run without a response, and its caller sends it again.

--- a/entry/src/main/java/org/bergamotcross/entry/http/CallerConnection.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/CallerConnection.java
@@ -1,6 +1,7 @@
 package org.bergamotcross.entry.http;
 
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
@@ -20,6 +21,7 @@
   private final Consumer<Runnable> delayed;
   private final AtomicReference<Optional<CallerExchange>> current =
       new AtomicReference<>(Optional.empty());
+  private volatile boolean closing;
 
   /**
    * Creates the state of one connection.
@@ -67,9 +69,19 @@
   }
 
   private CompletionStage<HttpResponse> handle(HttpRequest request) {
+    if (closing) {
+      // Never completed: the connection closes behind the previous response, and the caller sends
+      // this request again.
+      return new CompletableFuture<>();
+    }
     CallerExchange exchange = handler.apply(request);
     current.set(Optional.of(exchange));
-    return exchange.response();
+    return exchange.response().thenApply(this::noteClose);
+  }
+
+  private HttpResponse noteClose(HttpResponse response) {
+    closing |= HopByHopHeaders.closesConnection(response);
+    return response;
   }
 
   /**
