Bound the memory and the stack that a faulty target or caller can use

Reported by operators: a target sent bytes without end, and the machine that had called it ran out of memory. Found here with EndlessResponseTest, which failed first: - a series of interim responses, or of small requests sent ahead, in one read ended the process (StackOverflowError in Pekko's parser, which recurses for each message of a read); - a body in chunks of one byte took more than 1 MB for each buffered response of 128 KB; - an endless chunk size was kept and parsed again with each read, without a limit.

--- a/entry/src/main/java/org/bergamotcross/entry/ActorSystemPlugin.java
+++ b/entry/src/main/java/org/bergamotcross/entry/ActorSystemPlugin.java
@@ -48,6 +48,9 @@
             pekko.actor.default-dispatcher.fork-join-executor.parallelism-min = 1
             pekko.actor.default-dispatcher.fork-join-executor.parallelism-max = 1
             pekko.actor.internal-dispatcher = pekko.actor.default-dispatcher
+            # All messages of one read are parsed by recursion. A larger read that is full of small
+            # requests or interim responses would overflow the stack, which ends the process.
+            pekko.io.tcp.max-received-message-size = 4 KiB
             pekko.log-dead-letters = off
             pekko.coordinated-shutdown.run-by-jvm-shutdown-hook = off
             pekko.coordinated-shutdown.exit-jvm = off
--- a/entry/src/main/java/org/bergamotcross/entry/http/TargetAttempt.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/TargetAttempt.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
+import java.util.regex.Pattern;
 import org.apache.pekko.http.javadsl.model.HttpEntities;
 import org.apache.pekko.http.javadsl.model.HttpEntity;
 import org.apache.pekko.http.javadsl.model.HttpMethods;
@@ -37,6 +38,7 @@
   private final boolean claimed;
   private final boolean idempotent;
   private final HttpOptions options;
+  private final ResponseBufferBudget buffers;
   private final Materializer materializer;
   private final Consumer<AttemptEvent> events;
   private final Consumer<TargetConnection> releaseForReuse;
@@ -55,6 +57,7 @@
    * @param request the admitted request; if it is claimed, a small response body is read in full
    *     before the response is reported
    * @param options the configured handling of responses
+   * @param buffers the memory for response bodies that are read in full
    * @param materializer runs the streams
    * @param events receives the progress of the attempt
    * @param releaseForReuse takes connections that can carry another request
@@ -63,6 +66,7 @@
       CallerExchange exchange,
       AdmittedRequest request,
       HttpOptions options,
+      ResponseBufferBudget buffers,
       Materializer materializer,
       Consumer<AttemptEvent> events,
       Consumer<TargetConnection> releaseForReuse) {
@@ -70,6 +74,7 @@
     this.claimed = request.claimed();
     this.idempotent = request.idempotent();
     this.options = options;
+    this.buffers = buffers;
     this.materializer = materializer;
     this.events = events;
     this.releaseForReuse = releaseForReuse;
@@ -132,7 +137,7 @@
       failAsBroken();
     } else if (impliesNotRunWithoutConfirmation(head)) {
       failAsBroken();
-    } else if (!isFullyReceived(response) && bufferLimitBytes(response) > 0) {
+    } else if (!isFullyReceived(response) && reserveBuffer(response)) {
       bufferBody(response, head, bufferLimitBytes(response));
     } else if (claimed && response.entity() instanceof HttpEntity.Strict strict) {
       reportBuffered(response, head, strict.getData());
@@ -189,36 +194,40 @@
     return !idempotent && STATUSES_IMPLYING_NOT_RUN.contains(head.status());
   }
 
-  private long bufferLimitBytes(HttpResponse response) {
-    long limit =
+  private int bufferLimitBytes(HttpResponse response) {
+    int limit =
         Math.max(options.responseBufferBytes(), claimed ? StoredResponse.MAX_BODY_BYTES : 0);
-    return response.entity().getContentLengthOption().orElse(0) > limit ? 0 : limit;
+    long length = response.entity().getContentLengthOption().orElse(limit);
+    return length > limit ? 0 : (int) length;
+  }
+
+  private boolean reserveBuffer(HttpResponse response) {
+    int bytes = bufferLimitBytes(response);
+    return bytes > 0 && buffers.tryReserve(bytes);
   }
 
   /** Reads the body into memory up to a limit; a larger one is streamed to the caller. */
-  private void bufferBody(HttpResponse response, ResponseHead head, long limit) {
-    response
-        .entity()
-        .getDataBytes()
-        .groupedWeighted(limit + 1, bytes -> (long) bytes.size())
-        .map(group -> group.stream().reduce(ByteString.emptyByteString(), ByteString::concat))
+  private void bufferBody(HttpResponse response, ResponseHead head, int limit) {
+    bodyBytes(response.entity())
+        .via(new LeadingBytes(limit))
         .prefixAndTail(1)
         .runWith(Sink.head(), materializer)
         .whenComplete(
             (read, failure) -> {
+              buffers.release(limit);
               if (failure != null) {
                 failAsBroken();
                 return;
               }
-              ByteString prefix =
-                  read.first().isEmpty() ? ByteString.emptyByteString() : read.first().getFirst();
-              if (prefix.size() <= limit) {
-                reportBuffered(response, head, prefix);
+              LeadingBytes.Part prefix = read.first().getFirst();
+              if (prefix.isWholeBody()) {
+                reportBuffered(response, head, prefix.bytes());
               } else {
+                Source<ByteString, ?> rest = read.second().map(LeadingBytes.Part::bytes);
                 reportHead(
                     response.withEntity(
                         entityWithSameFraming(
-                            response.entity(), Source.single(prefix).concat(read.second()))),
+                            response.entity(), Source.single(prefix.bytes()).concat(rest))),
                     head,
                     Optional.empty());
               }
@@ -297,7 +306,17 @@
 
   private ResponseEntity observeBody(ResponseEntity entity) {
     return entityWithSameFraming(
-        entity, entity.getDataBytes().via(new TerminationObserver(new ResponseBodyObserver())));
+        entity, bodyBytes(entity).via(new TerminationObserver(new ResponseBodyObserver())));
+  }
+
+  private Source<ByteString, ?> bodyBytes(ResponseEntity entity) {
+    return entity
+        .getDataBytes()
+        .map(
+            bytes -> {
+              connection.get().ifPresent(TargetConnection::markProgress);
+              return bytes;
+            });
   }
 
   private static ResponseEntity entityWithSameFraming(
@@ -376,6 +395,10 @@
       boolean closesConnection,
       Optional<Duration> retryAfter) {
     private static final int MIN_ERROR_STATUS = 400;
+    private static final Pattern SECONDS = Pattern.compile("[0-9]{1,12}(\\.[0-9]{0,9})?");
+    private static final double NANOS_PER_SECOND = 1e9;
+    // Keeps a nonsensical value within the range of a duration; TargetNotices bounds the pause.
+    private static final double MAX_RETRY_AFTER_SECONDS = 86_400;
     private static final int MISDIRECTED_REQUEST = 421;
 
     static ResponseHead read(HttpResponse response, HeaderNames names) {
@@ -400,13 +423,15 @@
           .isPresent();
     }
 
+    /**
+     * Parses a Retry-After in seconds, with or without a fraction. An HTTP date depends on the
+     * target's clock and is ignored, like any other text.
+     */
     private static Optional<Duration> parseSeconds(String text) {
-      try {
-        return Optional.of(Duration.ofSeconds(Math.max(0, Integer.parseInt(text.strip()))));
-      } catch (NumberFormatException e) {
-        // Retry-After may also be an HTTP date, which depends on the target's clock; it is ignored.
-        return Optional.empty();
-      }
+      return Optional.of(text.strip())
+          .filter(seconds -> SECONDS.matcher(seconds).matches())
+          .map(seconds -> Math.min(Double.parseDouble(seconds), MAX_RETRY_AFTER_SECONDS))
+          .map(seconds -> Duration.ofNanos((long) (seconds * NANOS_PER_SECOND)));
     }
   }
 }
--- a/entry/src/main/java/org/bergamotcross/entry/http/TargetClient.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/TargetClient.java
@@ -41,6 +41,7 @@
   private final Materializer materializer;
   private final ClientConnectionSettings settings;
   private final HttpOptions options;
+  private final ResponseBufferBudget buffers = ResponseBufferBudget.ofHeap();
   private final TimeSource time;
   private final Map<Address, ConcurrentLinkedDeque<TargetConnection>> idleConnections =
       new ConcurrentHashMap<>();
@@ -67,6 +68,7 @@
             exchange,
             request,
             options,
+            buffers,
             materializer,
             events,
             reusable -> release(reusable, idle, slots));
--- a/entry/src/main/java/org/bergamotcross/entry/http/TargetConnection.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/TargetConnection.java
@@ -129,6 +129,7 @@
 
   private boolean offer(HttpRequest request) {
     bytesBeforeRequest = transport.receivedBytes();
+    transport.markProgress();
     headReceived = false;
     boolean accepted =
         !closed && streams.requests().offer(request).equals(QueueOfferResult.enqueued());
@@ -176,6 +177,11 @@
     return !closed && transport.receivedBytes() == bytesBeforeRequest;
   }
 
+  /** Records that a part of the response has been parsed, after which more bytes may arrive. */
+  void markProgress() {
+    transport.markProgress();
+  }
+
   /** Closes the connection immediately, which cancels the request on it. */
   void close() {
     closed = true;
@@ -193,6 +199,7 @@
       return;
     }
     headReceived = true;
+    markProgress();
     keepAliveTimeout = KeepAliveHeader.timeout(response);
     current.get().onResponseHead(response);
   }
