Reduce the processor time of heartbeats and starts in large fleets

The exchange duty repeated its periodic work after each message; each heartbeat encoded the same delegation again; each changed delegation ranked all members for each organisation and summed 56 leases for each. Ruled out: the health tick, since the health plug-in does not run on the platform. Change: periodic work of the exchange duty only when due; one encoding for all heartbeats of a round; holders are selected without sorting all members; equal delegations are summed once; the usable targets are computed only after a change.

--- a/core/src/main/java/org/bergamotcross/core/admission/DelegatedFractions.java
+++ b/core/src/main/java/org/bergamotcross/core/admission/DelegatedFractions.java
@@ -74,24 +74,44 @@
     ignoreHeartbeatsBefore = Optional.of(now);
   }
 
-  /** Returns the fraction of an organisation's rate that is delegated to this instance now. */
-  double fraction(OrganisationId organisation, ClockReading now) {
+  /**
+   * Returns the delegations whose lease is valid now, the own one included, with the number of
+   * instances that made each. Most instances make equal ones.
+   */
+  IdentityHashMap<Delegation, Integer> validDelegations(ClockReading now) {
+    IdentityHashMap<Delegation, Integer> valid = new IdentityHashMap<>();
+    valid.put(ownDelegation, 1);
+    for (Lease lease : leases.values()) {
+      if (now.isBefore(lease.until())) {
+        valid.merge(lease.delegation(), 1, Integer::sum);
+      }
+    }
+    return valid;
+  }
+
+  /**
+   * Returns the fraction of an organisation's rate that is delegated to this instance.
+   *
+   * @param organisation the organisation
+   * @param valid the result of {@link #validDelegations}
+   */
+  double fraction(OrganisationId organisation, IdentityHashMap<Delegation, Integer> valid) {
     IdentityHashMap<Delegation, Double> cached =
         fractionCache.computeIfAbsent(organisation, id -> new IdentityHashMap<>());
     if (cached.size() > MAX_CACHED_DELEGATIONS) {
       cached.clear();
     }
-    double sum = fraction(organisation, ownDelegation, cached);
-    for (Lease lease : leases.values()) {
-      if (now.isBefore(lease.until())) {
-        sum += fraction(organisation, lease.delegation(), cached);
-      }
+    double sum = 0;
+    for (Map.Entry<Delegation, Integer> entry : valid.entrySet()) {
+      sum += entry.getValue() * fraction(organisation, entry.getKey(), cached);
     }
     return sum;
   }
 
   private double fraction(
-      OrganisationId organisation, Delegation delegation, Map<Delegation, Double> cached) {
+      OrganisationId organisation,
+      Delegation delegation,
+      IdentityHashMap<Delegation, Double> cached) {
     return cached.computeIfAbsent(delegation, d -> d.rateFraction(organisation.value(), self));
   }
 
--- a/core/src/main/java/org/bergamotcross/core/admission/DelegatingRateLimiter.java
+++ b/core/src/main/java/org/bergamotcross/core/admission/DelegatingRateLimiter.java
@@ -6,6 +6,7 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
@@ -220,7 +221,7 @@
 
   /** Takes tokens from this instance's bucket. */
   private int take(OrganisationId id, OrganisationState state, int needed, ClockReading now) {
-    resize(id, state, now);
+    resize(id, state, fractions.validDelegations(now), now);
     return state.bucket.map(bucket -> bucket.take(needed, now)).orElse(0);
   }
 
@@ -251,7 +252,7 @@
     long retry = MAX_HOLDER_RETRY_MILLIS;
     if (configuration.organisation(id).filter(Organisation::isLimited).isPresent()) {
       OrganisationState state = organisations.computeIfAbsent(id, key -> new OrganisationState());
-      resize(id, state, now);
+      resize(id, state, fractions.validDelegations(now), now);
       if (state.bucket.filter(bucket -> bucket.fraction() > 0).isPresent()) {
         DelegatedBucket bucket = state.bucket.get();
         amount = bucket.grant(request.needed(), now.plus(GRANT_VALIDITY), now);
@@ -449,23 +450,29 @@
   }
 
   private void resizeBuckets(ClockReading now) {
+    IdentityHashMap<Delegation, Integer> valid = fractions.validDelegations(now);
     for (Organisation organisation : configuration.organisations()) {
       if (organisation.isLimited()) {
         resize(
             organisation.id(),
             organisations.computeIfAbsent(organisation.id(), id -> new OrganisationState()),
+            valid,
             now);
       }
     }
   }
 
-  private void resize(OrganisationId id, OrganisationState state, ClockReading now) {
+  private void resize(
+      OrganisationId id,
+      OrganisationState state,
+      IdentityHashMap<Delegation, Integer> valid,
+      ClockReading now) {
     Optional<Organisation> limit = configuration.organisation(id).filter(Organisation::isLimited);
     if (limit.isEmpty()) {
       state.bucket = Optional.empty();
       return;
     }
-    double fraction = fractions.fraction(id, now);
+    double fraction = fractions.fraction(id, valid);
     if (fraction > 0 || state.bucket.isPresent()) {
       DelegatedBucket bucket =
           state.bucket.orElseGet(() -> new DelegatedBucket(limit.get(), tolerance, now));
--- a/core/src/main/java/org/bergamotcross/core/config/TargetDirectory.java
+++ b/core/src/main/java/org/bergamotcross/core/config/TargetDirectory.java
@@ -26,7 +26,12 @@
     }
   }
 
+  /** The usable targets, valid until the first grace period ends. */
+  private record Usable(List<TargetEntry> entries, Optional<ClockReading> until) {}
+
   private final Map<TargetId, KnownTarget> known = new HashMap<>();
+  // Most records only show that a target is alive and leave the usable targets as they are.
+  private Optional<Usable> cachedUsable = Optional.empty();
 
   /** Creates an empty directory. */
   public TargetDirectory() {}
@@ -43,10 +48,16 @@
     if (previous != null && previous.offset() >= targetRecord.offset()) {
       return false;
     }
-    return switch (targetRecord) {
-      case TargetChange.Published published -> publish(published, Optional.ofNullable(previous));
-      case TargetChange.Removed removed -> remove(removed, Optional.ofNullable(previous), now);
-    };
+    boolean isChange =
+        switch (targetRecord) {
+          case TargetChange.Published published ->
+              publish(published, Optional.ofNullable(previous));
+          case TargetChange.Removed removed -> remove(removed, Optional.ofNullable(previous), now);
+        };
+    if (isChange) {
+      cachedUsable = Optional.empty();
+    }
+    return isChange;
   }
 
   private boolean publish(TargetChange.Published targetRecord, Optional<KnownTarget> previous) {
@@ -101,6 +112,13 @@
    * @return the entries, ordered by id
    */
   public List<TargetEntry> usableTargets(ClockReading now) {
+    if (cachedUsable.filter(c -> c.until().map(now::isBefore).orElse(true)).isEmpty()) {
+      cachedUsable = Optional.of(new Usable(findUsableTargets(now), nextExpiry(now)));
+    }
+    return cachedUsable.get().entries();
+  }
+
+  private List<TargetEntry> findUsableTargets(ClockReading now) {
     boolean haveStartTimes =
         known.values().stream()
             .flatMap(k -> k.entry().stream())
--- a/core/src/main/java/org/bergamotcross/core/membership/Members.java
+++ b/core/src/main/java/org/bergamotcross/core/membership/Members.java
@@ -2,12 +2,13 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Stream;
+import java.util.function.IntPredicate;
 import org.apache.commons.codec.digest.MurmurHash3;
 
 /**
@@ -73,13 +74,39 @@
    *     failure domains than {@code count}
    */
   public List<Member> selectAcrossDomains(String key, int count) {
+    long[] weights = new long[list.size()];
+    for (int i = 0; i < weights.length; i++) {
+      weights[i] = rendezvousWeight(key, list.get(i).id());
+    }
+    // Picks one at a time, because sorting all members costs much more where there are many.
     Set<FailureDomain> used = new HashSet<>();
-    List<Member> firstOfDomain = new ArrayList<>();
-    List<Member> others = new ArrayList<>();
-    for (Member member : rankByWeight(key)) {
-      (used.add(member.failureDomain()) ? firstOfDomain : others).add(member);
+    BitSet selected = new BitSet(weights.length);
+    List<Member> result = new ArrayList<>(count);
+    while (result.size() < Math.min(count, weights.length)) {
+      int best = heaviest(weights, i -> !selected.get(i) && !used.contains(domain(i)));
+      if (best < 0) {
+        best = heaviest(weights, i -> !selected.get(i));
+      }
+      selected.set(best);
+      used.add(domain(best));
+      result.add(list.get(best));
+    }
+    return result;
+  }
+
+  private FailureDomain domain(int index) {
+    return list.get(index).failureDomain();
+  }
+
+  /** Returns the eligible index of the highest weight, the first one at a tie, or -1. */
+  private static int heaviest(long[] weights, IntPredicate isEligible) {
+    int best = -1;
+    for (int i = 0; i < weights.length; i++) {
+      if ((best < 0 || weights[i] > weights[best]) && isEligible.test(i)) {
+        best = i;
+      }
     }
-    return Stream.concat(firstOfDomain.stream(), others.stream()).limit(count).toList();
+    return best;
   }
 
   private List<Member> rankByWeight(String key) {
--- a/entry/src/main/java/org/bergamotcross/entry/peer/ExchangeDuty.java
+++ b/entry/src/main/java/org/bergamotcross/entry/peer/ExchangeDuty.java
@@ -55,6 +55,7 @@
   private Configuration configuration = Configuration.EMPTY;
   private Optional<ClockReading> nextHeartbeatAt = Optional.empty();
   private Optional<ClockReading> nextFleetUpdateAt = Optional.empty();
+  private ClockReading nextTickAt;
 
   ExchangeDuty(
       Member self,
@@ -67,7 +68,8 @@
     this.handlers = handlers;
     this.links = links;
     this.context = context;
-    this.peers = new PeerTable(self, context.time().now());
+    this.nextTickAt = context.time().now();
+    this.peers = new PeerTable(self, nextTickAt);
     this.heartbeatInterval =
         Duration.ofMillis(context.settings().value(EntrySettings.HEARTBEAT_INTERVAL_MS));
     this.maxEchoAge =
@@ -88,10 +90,14 @@
       case ExchangeInput.LinkClosed closed -> {
         links.handleClosed(closed.address(), closed.generation(), now);
         peers.markConnectionLost(closed.address());
+        nextTickAt = now;
       }
       case ExchangeInput.DirectoryUpdated directory ->
           handleDirectory(directory.otherInstances(), directory.containsSelf(), now);
-      case ExchangeInput.ShutdownRequested ignored -> peers.scheduleRelease(now);
+      case ExchangeInput.ShutdownRequested ignored -> {
+        peers.scheduleRelease(now);
+        nextTickAt = now;
+      }
       case ExchangeInput.InstanceRemoved removed -> peers.removeFromRoster(removed.instance());
       case ExchangeInput.ConfigurationChanged changed ->
           handleConfiguration(changed.configuration(), now);
@@ -100,15 +106,25 @@
 
   @Override
   public Duration onTick(ClockReading now) {
+    // Called after each message, too; with many peers, most messages are heartbeats, which leave
+    // nothing to do.
+    if (now.isBefore(nextTickAt)) {
+      return nextTickAt.since(now);
+    }
     peers.removeSilentNonMembers(now);
     maintainLinks(now);
     boolean isDelegationChanged = updateFleet(now);
     if (isDelegationChanged || nextHeartbeatAt.isEmpty() || !now.isBefore(nextHeartbeatAt.get())) {
-      peers.addresses().keySet().forEach(id -> sendHeartbeat(id, now));
+      byte[] delegation = peers.encodedDelegation();
+      peers.addresses().keySet().forEach(id -> sendHeartbeat(id, delegation, now));
       nextHeartbeatAt = Optional.of(now.plus(heartbeatInterval));
     }
     publishReachablePeers(now);
-    return TICK_INTERVAL;
+    nextTickAt = now.plus(TICK_INTERVAL);
+    if (nextFleetUpdateAt.filter(nextTickAt::isAfter).isPresent()) {
+      nextTickAt = nextFleetUpdateAt.get();
+    }
+    return nextTickAt.since(now);
   }
 
   /** Updates the fleet view and returns whether peers must learn of a new delegation at once. */
@@ -186,8 +202,12 @@
   }
 
   private void sendHeartbeat(InstanceId id, ClockReading now) {
+    sendHeartbeat(id, peers.encodedDelegation(), now);
+  }
+
+  private void sendHeartbeat(InstanceId id, byte[] delegation, ClockReading now) {
     peers
-        .nextHeartbeat(id, configuration.offset(), now)
+        .nextHeartbeat(id, configuration.offset(), delegation, now)
         .ifPresent(heartbeat -> send(id, PeerMessages.HEARTBEAT, heartbeat));
   }
 
@@ -287,6 +307,7 @@
           new PeerMessages.PeerList(known, peers.isShareUsable(), peers.isRegistered(member.id())));
     }
     if (isNew) {
+      nextTickAt = now;
       context.publish(Broadcasts.PEER_RESTARTED, member.id());
       sendHeartbeat(member.id(), now);
     }
--- a/entry/src/main/java/org/bergamotcross/entry/peer/PeerTable.java
+++ b/entry/src/main/java/org/bergamotcross/entry/peer/PeerTable.java
@@ -225,10 +225,12 @@
    *
    * @param id the peer
    * @param offset the offset up to which this instance has applied the configuration log
+   * @param delegation the encoded delegation of this instance
    * @param now the current time
    * @return the heartbeat, or empty if the peer is unknown
    */
-  Optional<PeerMessages.Heartbeat> nextHeartbeat(InstanceId id, long offset, ClockReading now) {
+  Optional<PeerMessages.Heartbeat> nextHeartbeat(
+      InstanceId id, long offset, byte[] delegation, ClockReading now) {
     Peer peer = peers.get(id);
     if (peer == null) {
       return Optional.empty();
@@ -244,7 +246,7 @@
             peer.member.incarnation(),
             peer.lastReceivedSequence,
             offset,
-            encodedDelegation()));
+            delegation));
   }
 
   /** Returns this instance's delegation in the encoding that heartbeats carry. */
--- a/entry/src/test/java/org/bergamotcross/entry/peer/PeerTableTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/peer/PeerTableTest.java
@@ -35,7 +35,7 @@
 
   private void sendHeartbeats(int count) {
     for (int i = 0; i < count; i++) {
-      table.nextHeartbeat(PEER, 0, ClockReading.ofMillis(500L * i));
+      table.nextHeartbeat(PEER, 0, new byte[0], ClockReading.ofMillis(500L * i));
     }
   }
 
--- a/entry/src/test/java/org/bergamotcross/entry/peer/SimulatedRateFleet.java
+++ b/entry/src/test/java/org/bergamotcross/entry/peer/SimulatedRateFleet.java
@@ -224,7 +224,7 @@
 
     private void sendHeartbeat(InstanceId peer) {
       peers
-          .nextHeartbeat(peer, 1, now())
+          .nextHeartbeat(peer, 1, peers.encodedDelegation(), now())
           .ifPresent(heartbeat -> send(index(peer), new HeartbeatFrom(member, heartbeat)));
     }
 
