Try unused targets with idempotent requests

Cause of the listed system test and of the README's first command failing: at low load a part of the targets suffices, the others are never used, and a fault of such a target is never met. Change: an idempotent request goes to a target without an outcome for 2 s, at a rate of about three a second for all instances together.

--- a/core/src/main/java/org/bergamotcross/core/routing/FailureRisk.java
+++ b/core/src/main/java/org/bergamotcross/core/routing/FailureRisk.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.bergamotcross.core.config.TargetId;
 import org.bergamotcross.kernel.ClockReading;
 
@@ -168,6 +169,18 @@
         risk(targetEstimates, target, PRIOR_RISK, now), risk(pathEstimates, target, 0, now));
   }
 
+  /**
+   * Returns the time since the last known outcome of a target, of any instance.
+   *
+   * @param target the target
+   * @param now the current time
+   * @return the time, empty if there was none
+   */
+  public Optional<Duration> timeSinceOutcome(TargetId target, ClockReading now) {
+    return Optional.ofNullable(targetEstimates.get(target))
+        .map(estimate -> now.since(estimate.updatedAt()));
+  }
+
   /**
    * Returns the risk level of a target.
    *
--- a/core/src/main/java/org/bergamotcross/core/routing/PoolLoad.java
+++ b/core/src/main/java/org/bergamotcross/core/routing/PoolLoad.java
@@ -107,6 +107,22 @@
     return sum;
   }
 
+  /**
+   * Estimates the rate at which all instances complete requests of a pool.
+   *
+   * @param pool the pool
+   * @param now the current time
+   * @return requests per second
+   */
+  public double completionsPerSecond(Pool pool, ClockReading now) {
+    double sum = 0;
+    for (Target target : pool.targets()) {
+      DecayingRate rate = completionRates.get(target.id());
+      sum += rate == null ? 0 : rate.value(now);
+    }
+    return sum;
+  }
+
   /**
    * Returns whether a duration of the pool is known, without which its load cannot be estimated.
    *
--- a/core/src/main/java/org/bergamotcross/core/routing/TargetChooser.java
+++ b/core/src/main/java/org/bergamotcross/core/routing/TargetChooser.java
@@ -63,6 +63,7 @@
   private final FailureRisk failureRisk;
   private final PoolLoad load;
   private final TargetNotices notices;
+  private final UnusedTargetTrials unusedTrials;
   private final UniformRandomProvider random;
   private final Map<TargetId, ClockReading> trialCooldownEnds = new HashMap<>();
 
@@ -88,6 +89,7 @@
     this.failureRisk = failureRisk;
     this.load = load;
     this.notices = notices;
+    this.unusedTrials = new UnusedTargetTrials(failureRisk, inFlight, load, random);
     this.random = random;
   }
 
@@ -122,6 +124,13 @@
     if (eligible.isEmpty()) {
       return explainEmptyChoice(pool, health, now);
     }
+    Optional<Target> unused =
+        idempotent && previous.isEmpty()
+            ? unusedTrials.choose(pool, eligible.stream().map(Candidate::target).toList(), now)
+            : Optional.empty();
+    if (unused.isPresent()) {
+      return new TargetChoice.Chosen(unused.get(), false, inFlight.total(unused.get().id(), now));
+    }
     eligible = keepLowestRisk(pool, eligible, now);
     Candidate first = drawWeighted(eligible);
     eligible.remove(first);
--- a/core/src/test/java/org/bergamotcross/core/routing/LowestRiskChoiceTest.java
+++ b/core/src/test/java/org/bergamotcross/core/routing/LowestRiskChoiceTest.java
@@ -93,6 +93,42 @@
     }
   }
 
+  @Nested
+  class UnusedTargets {
+    private Map<TargetId, Integer> countChoices(boolean idempotent) {
+      recordSuccesses(0, SIZE - 2);
+      now = now.plus(UnusedTargetTrials.UNUSED_AFTER);
+      recordSuccesses(0, SIZE - 2);
+      for (int i = 0; i < SIZE - 2; i++) {
+        load.recordCompletions(Fixtures.id(i), 3, now);
+      }
+      Map<TargetId, Integer> counts = new HashMap<>();
+      for (int i = 0; i < 200; i++) {
+        TargetChoice choice = chooser.choose(POOL, HEALTHY, idempotent, Optional.empty(), now);
+        counts.merge(((TargetChoice.Chosen) choice).target().id(), 1, Integer::sum);
+      }
+      return counts;
+    }
+
+    // Guards against targets that are never used and of which nobody knows whether they work.
+    @Test
+    void areTriedWithIdempotentRequests() {
+      Map<TargetId, Integer> counts = countChoices(true);
+      int tried =
+          counts.getOrDefault(Fixtures.id(SIZE - 1), 0)
+              + counts.getOrDefault(Fixtures.id(SIZE - 2), 0);
+      assertThat(counts).containsKey(Fixtures.id(SIZE - 1));
+      assertThat(counts).containsKey(Fixtures.id(SIZE - 2));
+      // All instances together send 10 requests/s and try each of the two targets 3 times a second.
+      assertThat(tried).isAtMost(160);
+    }
+
+    @Test
+    void areNotTriedWithOtherRequests() {
+      assertThat(countChoices(false)).doesNotContainKey(Fixtures.id(SIZE - 1));
+    }
+  }
+
   @Nested
   class Locality {
     // Guards against unnecessary traffic between failure domains.
--- a/systemtest/src/test/java/org/bergamotcross/systemtest/ProcessFleet.java
+++ b/systemtest/src/test/java/org/bergamotcross/systemtest/ProcessFleet.java
@@ -1,5 +1,7 @@
 package org.bergamotcross.systemtest;
 
+import static com.google.common.truth.Truth.assertWithMessage;
+
 import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -10,9 +12,11 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
 import org.bergamotcross.core.config.ControlRecord;
 import org.bergamotcross.core.config.KeyHash;
 import org.bergamotcross.entry.platform.ControlRecordCodec;
@@ -160,6 +164,24 @@
     return platform;
   }
 
+  /** Returns the target that has started the most requests; at low load, some get none. */
+  TargetStandin targetInUse() {
+    return target(indexOfTargetInUse());
+  }
+
+  /** Returns the index of {@link #targetInUse}. */
+  int indexOfTargetInUse() {
+    int index =
+        IntStream.range(0, targets.size())
+            .boxed()
+            .max(Comparator.comparingLong(i -> target(i).executions().totalStarted()))
+            .orElseThrow();
+    assertWithMessage("requests of the most used target")
+        .that(target(index).executions().totalStarted())
+        .isGreaterThan(0L);
+    return index;
+  }
+
   TargetStandin target(int index) {
     return targets.get(index);
   }
--- a/systemtest/src/test/java/org/bergamotcross/systemtest/TrafficFaultTest.java
+++ b/systemtest/src/test/java/org/bergamotcross/systemtest/TrafficFaultTest.java
@@ -4,11 +4,9 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.IntStream;
 import org.bergamotcross.standin.InstanceListEntry;
 import org.bergamotcross.standin.TargetFault;
 import org.bergamotcross.standin.TargetStandin;
@@ -93,7 +91,7 @@
     void areEjectedByAllInstancesWhenTheyStall() throws Exception {
       fleet = ProcessFleet.start(4, 3, 1_000, 1_000);
       countOk(sendLoad(60, Duration.ofMillis(10)));
-      fleet.target(0).injectFault(new TargetFault.Stall());
+      fleet.targetInUse().injectFault(new TargetFault.Stall());
       sendLoad(100, Duration.ofMillis(20));
       for (EntryProcess entry : fleet.entries()) {
         Await.until(
@@ -112,14 +110,8 @@
     void receiveNoNewRequestsOnceTheyLeave() throws Exception {
       fleet = ProcessFleet.start(3, 3, 1_000, 1_000);
       countOk(sendLoad(30, Duration.ofMillis(10)));
-      // At low load, the instances may use only two of the three targets.
-      int index =
-          IntStream.range(0, 3)
-              .boxed()
-              .max(Comparator.comparingLong(i -> fleet.target(i).executions().totalStarted()))
-              .orElseThrow();
+      int index = fleet.indexOfTargetInUse();
       TargetStandin leaving = fleet.target(index);
-      assertThat(leaving.executions().totalStarted()).isGreaterThan(0L);
       String address = "127.0.0.1:" + leaving.address().getPort();
       fleet
           .platform()
