--- a/core/src/main/java/org/bergamotcross/core/routing/TargetChooser.java
+++ b/core/src/main/java/org/bergamotcross/core/routing/TargetChooser.java
@@ -126,7 +126,7 @@
     }
     Optional<Target> unused =
         idempotent && previous.isEmpty()
-            ? unusedTrials.choose(pool, eligible.stream().map(Candidate::target).toList(), now)
+            ? unusedTrials.choose(pool, withFullWeight(eligible, health), now)
             : Optional.empty();
     if (unused.isPresent()) {
       return new TargetChoice.Chosen(unused.get(), false, inFlight.total(unused.get().id(), now));
@@ -138,6 +138,17 @@
     return new TargetChoice.Chosen(best.target(), false, best.inFlight());
   }
 
+  /** Leaves out targets that ramp up, because their weight already limits their requests. */
+  private static List<Target> withFullWeight(List<Candidate> eligible, HealthView health) {
+    return eligible.stream()
+        .map(Candidate::target)
+        .filter(
+            target ->
+                health.status(target.id()) instanceof TargetStatus.Available available
+                    && available.weight() >= 1)
+        .toList();
+  }
+
   private Optional<Target> findTrialTarget(
       Pool pool, HealthView health, Optional<TargetId> previous, ClockReading now) {
     return pool.targets().stream()
