Discard a response that continues a late one cut in its head

Reported by operators: a late copy of an answer on a connection in use again. Complete copies were already detected by their bytes and by the echoed request id.

--- a/entry/src/main/java/org/bergamotcross/entry/http/ByteCountingTransport.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/ByteCountingTransport.java
@@ -18,6 +18,9 @@
  * <p>Pekko keeps bytes that follow a complete response and parses them as the response to the next
  * request. The count reveals that such a response arrived before that request was sent. Pekko also
  * collects a chunk size and a chunk until they are complete, without a limit on the former.
+ *
+ * <p>A late response that is cut within its status line continues with the status line of the next
+ * one. Pekko discards the reason phrase, so this shows only in the bytes.
  */
 final class ByteCountingTransport extends ClientTransport {
   private static final LiteralAddressTransport TCP = new LiteralAddressTransport();
@@ -34,8 +37,23 @@
     }
   }
 
+  private static final String MESSAGE_START = "HTTP/1.";
+  private static final int MAX_STATUS_LINE_BYTES = 256;
+
+  /** Fails a connection on which a response begins within the status line of another one. */
+  private static final class MergedResponsesException extends IOException {
+    private static final long serialVersionUID = 1L;
+
+    MergedResponsesException(String line) {
+      super("expected one response, found two in the status line " + line);
+    }
+  }
+
   private final AtomicLong receivedBytes = new AtomicLong();
+  private final StringBuilder statusLine = new StringBuilder();
   private volatile long receivedBytesAtProgress;
+  private volatile boolean responseExpected;
+  private boolean inStatusLine;
 
   /**
    * Returns how many bytes the connection has received.
@@ -46,6 +64,12 @@
     return receivedBytes.get();
   }
 
+  /** Records that a request is sent, after which a response begins. */
+  void expectResponse() {
+    markProgress();
+    responseExpected = true;
+  }
+
   /** Records that a response head or a part of a body has been parsed. */
   void markProgress() {
     receivedBytesAtProgress = receivedBytes.get();
@@ -57,11 +81,29 @@
     return TCP.connectTo(host, port, settings, system).map(this::count);
   }
 
-  private ByteString count(ByteString bytes) throws EndlessMessageException {
+  private ByteString count(ByteString bytes) throws IOException {
+    if (responseExpected) {
+      responseExpected = false;
+      inStatusLine = true;
+      statusLine.setLength(0);
+    }
+    if (inStatusLine) {
+      checkStatusLine(bytes);
+    }
     long received = receivedBytes.addAndGet(bytes.size());
     if (received - receivedBytesAtProgress > MAX_BYTES_WITHOUT_PROGRESS) {
       throw new EndlessMessageException();
     }
     return bytes;
   }
+
+  private void checkStatusLine(ByteString bytes) throws MergedResponsesException {
+    int end = bytes.indexOf((byte) '\n', 0);
+    int room = MAX_STATUS_LINE_BYTES - statusLine.length();
+    statusLine.append(bytes.take(Math.min(room, end < 0 ? bytes.size() : end)).utf8String());
+    inStatusLine = end < 0 && statusLine.length() < MAX_STATUS_LINE_BYTES;
+    if (statusLine.indexOf(MESSAGE_START, 1) > 0) {
+      throw new MergedResponsesException(statusLine.toString());
+    }
+  }
 }
--- a/entry/src/main/java/org/bergamotcross/entry/http/TargetConnection.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/TargetConnection.java
@@ -129,7 +129,7 @@
 
   private boolean offer(HttpRequest request) {
     bytesBeforeRequest = transport.receivedBytes();
-    transport.markProgress();
+    transport.expectResponse();
     headReceived = false;
     boolean accepted =
         !closed && streams.requests().offer(request).equals(QueueOfferResult.enqueued());
--- a/entry/src/test/java/org/bergamotcross/entry/path/ConfiguredHeadersTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/path/ConfiguredHeadersTest.java
@@ -7,6 +7,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against settings of header names and target guarantees that have no effect. */
 class ConfiguredHeadersTest {
@@ -108,6 +110,24 @@
               connection.write(ok(request, "late").replace("X-Try: t1", "X-Try: t0")));
     }
 
+    // Guards against a late copy of a response that is cut in the middle of its head: the start of
+    // the copy and the response to the current request are parsed as one response.
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          "HTTP/1.1 200 O",
+          "HTTP/1.1 200 OK",
+          "HTTP/1.1 200 OK\r\nX-Se",
+          "HTTP/1.1 200 OK\r\nX-Seal: la",
+          "HTTP/1.1 200 OK\r\nX-Seal: late\r\nX-Try: t"
+        })
+    void thatContinueACutHeadAreDiscarded(String cutHead) throws Exception {
+      checkDiscarded(
+          (connection, request) ->
+              connection.write(
+                  cutHead + ok(request, "failed").replace("200 OK", "500 Internal Server Error")));
+    }
+
     @Test
     void withoutTheRequestIdAreDiscarded() throws Exception {
       checkDiscarded((connection, request) -> connection.write(RawTarget.ok("unnamed")));
