--- a/cli/src/main/java/org/bergamotcross/cli/EventDescription.java
+++ b/cli/src/main/java/org/bergamotcross/cli/EventDescription.java
@@ -40,6 +40,22 @@
               + " failed; the request is sent again after "
               + event.value("delay-ms")
               + " ms.";
+      case "route.stalled" ->
+          "Attempt "
+              + event.value("attempt")
+              + " at target "
+              + event.value("target")
+              + " takes longer than usual for its route: "
+              + event.value("age-ms")
+              + " ms.";
+      case "route.refused" ->
+          "Routing ended the request after "
+              + event.value("attempts")
+              + " attempt(s) and "
+              + event.value("age-ms")
+              + " ms; outcome "
+              + event.value("outcome")
+              + ".";
       case "request.completed" ->
           "The request of organisation "
               + event.value("organisation")
@@ -108,6 +124,16 @@
               + event.value("cause")
               + ".";
       case "target.leaving" -> describeTarget(event) + " is leaving and gets no new work.";
+      case "target.announced-leaving" ->
+          "Target "
+              + event.value("target")
+              + " announced that it is leaving and gets no new work until it starts again.";
+      case "target.paused" ->
+          "Target "
+              + event.value("target")
+              + " rejected a request and gets none from this instance for "
+              + event.value("requested-ms")
+              + " ms.";
       default -> "Event " + event.name() + formatPairs(event.values()) + ".";
     };
   }
