--- a/entry/src/test/java/org/bergamotcross/entry/path/GracefulShutdownTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/path/GracefulShutdownTest.java
@@ -72,6 +72,32 @@
     }
   }
 
+  @Nested
+  class LateInTheGracePeriod {
+    // Guards against a request that is passed on although it can't end before the stop does: it
+    // would be cut without a response, and may not be repeated.
+    @Test
+    void requestsThatCannotEndInTimeAreRefusedAsNotRun() throws Exception {
+      RawTarget.RequestHandler slow =
+          (connection, request) -> {
+            Thread.sleep(500);
+            connection.write(RawTarget.ok(request.name()));
+          };
+      try (RawTarget target = new RawTarget(slow);
+          EntryInstance entry = EntryInstance.start(List.of(target.port()));
+          RawCaller caller = new RawCaller(entry.port())) {
+        for (int i = 0; i < 3; i++) {
+          assertThat(caller.send("POST", "/team/open/r", "", KEY).body()).isEqualTo("r");
+        }
+        entry.stopWithAcceptPeriod(Duration.ofMillis(300), Duration.ofMillis(300));
+        RawTarget.Message refused = caller.send("POST", "/team/open/late", "", KEY);
+        assertThat(RawCaller.refusalAndOutcome(refused)).isEqualTo("stopping/not-run");
+        assertThat(refused.header("connection")).isEqualTo("close");
+        assertThat(target.requests()).hasSize(3);
+      }
+    }
+  }
+
   @Nested
   class AtTheDeadline {
     @Test
