Resize only the buckets that a changed delegation affects

Cause: while 57 instances start, each receives hundreds of changed delegations (533 heartbeats in 10 s cost 0.30 to 0.78 s in the admission duty), and for each one ranked all members for all 90 organisations and resized all buckets twice. An instance holds a part of one organisation in about twenty of a delegation. Change: only the organisations whose fraction differs are resized, before and after the change; all are, once a lease has expired. Whether an instance is a holder is decided within its own failure domain for most organisations.

--- a/core/src/main/java/org/bergamotcross/core/admission/DelegatedFractions.java
+++ b/core/src/main/java/org/bergamotcross/core/admission/DelegatedFractions.java
@@ -66,6 +66,26 @@
     leases.remove(peer);
   }
 
+  /** Returns the delegation of a peer whose lease is valid now, which delegates nothing if none. */
+  Delegation delegationOf(InstanceId peer, ClockReading now) {
+    Lease lease = leases.get(peer);
+    return lease != null && now.isBefore(lease.until()) ? lease.delegation() : Delegation.NONE;
+  }
+
+  /** Returns whether a lease has expired after {@code since} and until now. */
+  boolean hasExpiredSince(ClockReading since, ClockReading now) {
+    return leases.values().stream()
+        .anyMatch(lease -> lease.until().isAfter(since) && !now.isBefore(lease.until()));
+  }
+
+  /** Returns the fraction of an organisation's rate in one delegation. */
+  double fraction(OrganisationId organisation, Delegation delegation) {
+    return fraction(
+        organisation,
+        delegation,
+        fractionCache.computeIfAbsent(organisation, id -> new IdentityHashMap<>()));
+  }
+
   /**
    * Ends all leases; from now on, only replies to heartbeats sent after {@code now} start new ones.
    */
--- a/core/src/main/java/org/bergamotcross/core/admission/DelegatingRateLimiter.java
+++ b/core/src/main/java/org/bergamotcross/core/admission/DelegatingRateLimiter.java
@@ -82,6 +82,7 @@
   private final List<RateLimiterOutput.CompletedWait> completedWaits = new ArrayList<>();
   private final List<RateEvent> events = new ArrayList<>();
   private Configuration configuration = Configuration.EMPTY;
+  private ClockReading resizedAt = new ClockReading(0, 0);
   private Set<InstanceId> reachablePeers = Set.of();
   private boolean stopping;
   private int waitingRequests;
@@ -118,10 +119,9 @@
    */
   public void setOwnDelegation(Delegation delegation, ClockReading now) {
     checkClock(now);
-    resizeBuckets(now);
-    fractions.setOwnDelegation(delegation);
+    replaceDelegation(
+        fractions.ownDelegation(), delegation, () -> fractions.setOwnDelegation(delegation), now);
     organisations.values().forEach(state -> state.cachedHolders = Optional.empty());
-    resizeBuckets(now);
   }
 
   /**
@@ -143,10 +143,36 @@
       fractions.renew(peer, delegation, heartbeatSentAt);
       return;
     }
-    // Apply expired leases before the new one, so that it adds nothing for the time before.
-    resizeBuckets(now);
-    fractions.renew(peer, delegation, heartbeatSentAt);
-    resizeBuckets(now);
+    replaceDelegation(
+        fractions.delegationOf(peer.id(), now),
+        delegation,
+        () -> fractions.renew(peer, delegation, heartbeatSentAt),
+        now);
+  }
+
+  /**
+   * Replaces a delegation and resizes the buckets of which it changes the fraction.
+   *
+   * <p>These are resized before the change, too, so that it adds nothing for the time before. After
+   * a lease has expired, all buckets are resized first for the same reason.
+   */
+  private void replaceDelegation(
+      Delegation previous, Delegation next, Runnable replacement, ClockReading now) {
+    if (fractions.hasExpiredSince(resizedAt, now)) {
+      resizeBuckets(now);
+    }
+    List<OrganisationId> affected =
+        organisations.keySet().stream()
+            .filter(id -> fractions.fraction(id, previous) != fractions.fraction(id, next))
+            .toList();
+    resizeBuckets(affected, now);
+    replacement.run();
+    resizeBuckets(affected, now);
+  }
+
+  private void resizeBuckets(List<OrganisationId> ids, ClockReading now) {
+    IdentityHashMap<Delegation, Integer> valid = fractions.validDelegations(now);
+    ids.forEach(id -> resize(id, organisations.get(id), valid, now));
   }
 
   /**
@@ -157,8 +183,8 @@
    */
   public void onPeerRestart(InstanceId peer, ClockReading now) {
     checkClock(now);
-    fractions.endLease(peer);
-    resizeBuckets(now);
+    replaceDelegation(
+        fractions.delegationOf(peer, now), Delegation.NONE, () -> fractions.endLease(peer), now);
   }
 
   @Override
@@ -450,6 +476,7 @@
   }
 
   private void resizeBuckets(ClockReading now) {
+    resizedAt = now;
     IdentityHashMap<Delegation, Integer> valid = fractions.validDelegations(now);
     for (Organisation organisation : configuration.organisations()) {
       if (organisation.isLimited()) {
--- a/core/src/main/java/org/bergamotcross/core/membership/Delegation.java
+++ b/core/src/main/java/org/bergamotcross/core/membership/Delegation.java
@@ -47,8 +47,10 @@
     if (shares == 0 || settling.contains(instance)) {
       return 0;
     }
-    List<Member> holders = holders(organisation);
-    boolean holds = holders.stream().anyMatch(holder -> holder.id().equals(instance));
-    return holds ? 1.0 / shares / holders.size() : 0;
+    if (!candidates.isSelectedAcrossDomains(organisation, Members.MAX_HOLDERS, instance)) {
+      return 0;
+    }
+    int holders = Math.min(Members.MAX_HOLDERS, candidates.list().size());
+    return 1.0 / shares / holders;
   }
 }
--- a/core/src/main/java/org/bergamotcross/core/membership/Members.java
+++ b/core/src/main/java/org/bergamotcross/core/membership/Members.java
@@ -94,6 +94,47 @@
     return result;
   }
 
+  /**
+   * Checks whether {@link #selectAcrossDomains} selects a member, without ranking all members where
+   * that is not necessary.
+   *
+   * @param key for example the id of an organisation
+   * @param count the maximum number of members
+   * @param id the instance
+   * @return whether it is selected
+   */
+  public boolean isSelectedAcrossDomains(String key, int count, InstanceId id) {
+    Optional<Member> candidate = find(id);
+    if (candidate.isEmpty()) {
+      return false;
+    }
+    // With enough failure domains, only the heaviest member of each can be selected.
+    boolean isRejected = isOutweighedInItsDomain(key, candidate.get()) && hasFailureDomains(count);
+    return !isRejected && selectAcrossDomains(key, count).contains(candidate.get());
+  }
+
+  private boolean isOutweighedInItsDomain(String key, Member candidate) {
+    long weight = rendezvousWeight(key, candidate.id());
+    for (Member other : list) {
+      if (other.failureDomain().equals(candidate.failureDomain())
+          && !other.equals(candidate)
+          && rendezvousWeight(key, other.id()) > weight) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private boolean hasFailureDomains(int count) {
+    Set<FailureDomain> domains = new HashSet<>();
+    for (Member member : list) {
+      if (domains.add(member.failureDomain()) && domains.size() >= count) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private FailureDomain domain(int index) {
     return list.get(index).failureDomain();
   }
