Start one thread for blocking I/O of Pekko instead of sixteen

Seen in a list of threads on the platform: five and more of these threads were started by the few blocking tasks of a start, and stay. Their memory is paid for.

--- a/entry/src/main/java/org/bergamotcross/entry/ActorSystemPlugin.java
+++ b/entry/src/main/java/org/bergamotcross/entry/ActorSystemPlugin.java
@@ -48,6 +48,8 @@
             pekko.actor.default-dispatcher.fork-join-executor.parallelism-min = 1
             pekko.actor.default-dispatcher.fork-join-executor.parallelism-max = 1
             pekko.actor.internal-dispatcher = pekko.actor.default-dispatcher
+            # Each of the first tasks would start a thread of its own, and there are few tasks.
+            pekko.actor.default-blocking-io-dispatcher.thread-pool-executor.fixed-pool-size = 1
             # All messages of one read are parsed by recursion. A larger read that is full of small
             # requests or interim responses would overflow the stack, which ends the process.
             pekko.io.tcp.max-received-message-size = 4 KiB
