--- a/bench/src/main/java/org/bergamotcross/bench/RoundRobinRoutingPolicy.java
+++ b/bench/src/main/java/org/bergamotcross/bench/RoundRobinRoutingPolicy.java
@@ -39,7 +39,7 @@
     for (int i = 0; i < pool.targets().size(); i++) {
       Target target = pool.targets().get(Math.floorMod(nextIndex++, pool.targets().size()));
       if (isAvailable(target.id()) && !previous.equals(Optional.of(target.id()))) {
-        return new TargetChoice.Chosen(target, false, 0);
+        return new TargetChoice.Chosen(target, TargetChoice.Reason.FEWEST_IN_FLIGHT, 0);
       }
     }
     return new TargetChoice.NoneAvailable();
--- a/core/src/main/java/org/bergamotcross/core/routing/TargetChooser.java
+++ b/core/src/main/java/org/bergamotcross/core/routing/TargetChooser.java
@@ -115,7 +115,8 @@
         idempotent ? findTrialTarget(pool, health, previous, now) : Optional.empty();
     if (trial.isPresent()) {
       trialCooldownEnds.put(trial.get().id(), now.plus(MIN_TRIAL_INTERVAL));
-      return new TargetChoice.Chosen(trial.get(), true, inFlight.total(trial.get().id(), now));
+      return new TargetChoice.Chosen(
+          trial.get(), TargetChoice.Reason.TRIAL, inFlight.total(trial.get().id(), now));
     }
     List<Candidate> eligible = eligibleCandidates(pool, health, previous, now);
     if (eligible.isEmpty() && previous.isPresent()) {
@@ -129,13 +130,15 @@
             ? unusedTrials.choose(pool, withFullWeight(eligible, health), now)
             : Optional.empty();
     if (unused.isPresent()) {
-      return new TargetChoice.Chosen(unused.get(), false, inFlight.total(unused.get().id(), now));
+      return new TargetChoice.Chosen(
+          unused.get(), TargetChoice.Reason.UNUSED, inFlight.total(unused.get().id(), now));
     }
     eligible = keepLowestRisk(pool, eligible, now);
     Candidate first = drawWeighted(eligible);
     eligible.remove(first);
     Candidate best = eligible.isEmpty() ? first : lessLoaded(first, drawWeighted(eligible));
-    return new TargetChoice.Chosen(best.target(), false, best.inFlight());
+    return new TargetChoice.Chosen(
+        best.target(), TargetChoice.Reason.FEWEST_IN_FLIGHT, best.inFlight());
   }
 
   /** Leaves out targets that ramp up, because their weight already limits their requests. */
--- a/entry/src/main/java/org/bergamotcross/entry/duties/RoutingReporter.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/RoutingReporter.java
@@ -44,7 +44,7 @@
         .with("attempt", request.attemptCount())
         .with("pool", request.admitted().pool())
         .with("target", choice.target().id())
-        .with("reason", choice.trial() ? "trial" : "fewest-in-flight-of-two")
+        .with("reason", choice.reason().text())
         .with("in-flight", choice.inFlight())
         .with("failure-risk", Math.round(risk * 1_000) / 1_000.0)
         .emit();
