Bound the cached fractions of all organisations in one place

Since only affected buckets are resized, the cache of an organisation of which this instance holds no part was filled with each distinct delegation and cleared only after a lease expired or the configuration changed. Both look-ups now go through the method that bounds the cache. Found by reading; no run showed it. DelegatingRateLimiterTest, DelegatedBucketTest and FleetRatesTest pass.

--- a/core/src/main/java/org/bergamotcross/core/admission/DelegatedFractions.java
+++ b/core/src/main/java/org/bergamotcross/core/admission/DelegatedFractions.java
@@ -80,10 +80,7 @@
 
   /** Returns the fraction of an organisation's rate in one delegation. */
   double fraction(OrganisationId organisation, Delegation delegation) {
-    return fraction(
-        organisation,
-        delegation,
-        fractionCache.computeIfAbsent(organisation, id -> new IdentityHashMap<>()));
+    return fraction(organisation, delegation, cachedFractions(organisation));
   }
 
   /**
@@ -116,11 +113,7 @@
    * @param valid the result of {@link #validDelegations}
    */
   double fraction(OrganisationId organisation, IdentityHashMap<Delegation, Integer> valid) {
-    IdentityHashMap<Delegation, Double> cached =
-        fractionCache.computeIfAbsent(organisation, id -> new IdentityHashMap<>());
-    if (cached.size() > MAX_CACHED_DELEGATIONS) {
-      cached.clear();
-    }
+    IdentityHashMap<Delegation, Double> cached = cachedFractions(organisation);
     double sum = 0;
     for (Map.Entry<Delegation, Integer> entry : valid.entrySet()) {
       sum += entry.getValue() * fraction(organisation, entry.getKey(), cached);
@@ -128,6 +121,15 @@
     return sum;
   }
 
+  private IdentityHashMap<Delegation, Double> cachedFractions(OrganisationId organisation) {
+    IdentityHashMap<Delegation, Double> cached =
+        fractionCache.computeIfAbsent(organisation, id -> new IdentityHashMap<>());
+    if (cached.size() > MAX_CACHED_DELEGATIONS) {
+      cached.clear();
+    }
+    return cached;
+  }
+
   private double fraction(
       OrganisationId organisation,
       Delegation delegation,
