Remove a result that nobody reads and a look-up that stood twice

SharedRiskSimulation.Result.servedNonIdempotent had no reader; the share of failed requests and the completion rate of a target were each computed in two places.

--- a/bench/src/main/java/org/bergamotcross/bench/SharedRiskSimulation.java
+++ b/bench/src/main/java/org/bergamotcross/bench/SharedRiskSimulation.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.stream.IntStream;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -43,12 +44,11 @@
    * The result of a run.
    *
    * @param served the share of the requests that succeeded
-   * @param servedNonIdempotent the same for requests that may not be repeated
    * @param unevenWindows the number of windows of 2 s, half a second apart, in which more than a
    *     tenth but under half of the requests failed and less than {@link #MIN_USED_SHARE} of the
    *     sound targets got requests
    */
-  record Result(double served, double servedNonIdempotent, int unevenWindows) {}
+  record Result(double served, int unevenWindows) {}
 
   static final double MIN_USED_SHARE = 0.7;
 
@@ -73,7 +73,7 @@
 
   private record Arrival(long atMicros, int target) {}
 
-  private record End(long atMicros, boolean served, boolean idempotent) {}
+  private record End(long atMicros, boolean served) {}
 
   private final Load load;
   private final Pool pool;
@@ -116,13 +116,11 @@
     scheduleArrival();
     scheduler.scheduleAfter(WINDOW_MICROS, this::checkWindow);
     scheduler.runUntil(load.seconds() * 1_000_000L);
-    return new Result(servedShare(true), servedShare(false), unevenWindows);
+    return new Result(1 - failedShare(ends), unevenWindows);
   }
 
-  private double servedShare(boolean includesIdempotent) {
-    List<End> counted =
-        ends.stream().filter(end -> includesIdempotent || !end.idempotent()).toList();
-    return (double) counted.stream().filter(End::served).count() / Math.max(1, counted.size());
+  private static double failedShare(List<End> ended) {
+    return (double) ended.stream().filter(end -> !end.served()).count() / Math.max(1, ended.size());
   }
 
   private long exponentialMicros(double meanSeconds) {
@@ -153,8 +151,7 @@
     long now = scheduler.timeMicros();
     long from = now - WINDOW_MICROS;
     List<End> ended = ends.stream().filter(end -> end.atMicros() >= from).toList();
-    double failed =
-        (double) ended.stream().filter(end -> !end.served()).count() / Math.max(1, ended.size());
+    double failed = failedShare(ended);
     int[] sound = IntStream.range(0, load.targets()).filter(t -> isSoundSince(t, from)).toArray();
     long used =
         Arrays.stream(sound)
@@ -260,8 +257,7 @@
       return risks.riskLevel(Deployment.targetId(target), scheduler.now());
     }
 
-    private void broadcast(
-        boolean isUrgent, java.util.function.Consumer<SimulatedInstance> update) {
+    private void broadcast(boolean isUrgent, Consumer<SimulatedInstance> update) {
       long delay = isUrgent ? PEER_DELAY_MICROS : random.nextLong(BATCH_MICROS);
       scheduler.scheduleAfter(
           delay,
@@ -280,7 +276,7 @@
       if (!served && idempotent && attempt < MAX_ATTEMPTS) {
         send(true, attempt + 1, Optional.of(id));
       } else {
-        ends.add(new End(scheduler.timeMicros(), served, idempotent));
+        ends.add(new End(scheduler.timeMicros(), served));
       }
     }
   }
--- a/core/src/main/java/org/bergamotcross/core/routing/PoolLoad.java
+++ b/core/src/main/java/org/bergamotcross/core/routing/PoolLoad.java
@@ -87,9 +87,8 @@
    * @return the mean number of requests that run or are queued there
    */
   public double occupiedSlots(PoolId pool, TargetId target, ClockReading now) {
-    DecayingRate rate = completionRates.get(target);
     double duration = meanSeconds.getOrDefault(pool, DEFAULT_DURATION.toNanos() / NANOS_PER_SECOND);
-    return rate == null ? 0 : rate.value(now) * duration;
+    return completionsPerSecond(target, now) * duration;
   }
 
   /**
@@ -117,12 +116,16 @@
   public double completionsPerSecond(Pool pool, ClockReading now) {
     double sum = 0;
     for (Target target : pool.targets()) {
-      DecayingRate rate = completionRates.get(target.id());
-      sum += rate == null ? 0 : rate.value(now);
+      sum += completionsPerSecond(target.id(), now);
     }
     return sum;
   }
 
+  private double completionsPerSecond(TargetId target, ClockReading now) {
+    DecayingRate rate = completionRates.get(target);
+    return rate == null ? 0 : rate.value(now);
+  }
+
   /**
    * Returns whether a duration of the pool is known, without which its load cannot be estimated.
    *
