Give every connection its turn on the I/O thread

Cause: the dispatcher was a fork-join pool with one worker. Such a worker empties the queue of the tasks that it submitted itself before it takes a task that another thread submitted. A connection that always has work, such as an endless body in chunks of one byte, resubmits itself and so kept reads of other connections, new callers and the duties' responses waiting. Thread dumps show the one worker in the same stream for 8 s, until the routing duty gave the stalled attempts up.

Change: a thread pool with one thread and one first-in-first-out queue.

Result: EndlessResponseTest now checks that other callers wait less than 3 s.

--- a/entry/src/main/java/org/bergamotcross/entry/ActorSystemPlugin.java
+++ b/entry/src/main/java/org/bergamotcross/entry/ActorSystemPlugin.java
@@ -44,9 +44,10 @@
             # The scheduler wakes up on every tick; the shortest timeout it has to keep is 400 ms.
             pekko.scheduler.tick-duration = 100ms
             # A single I/O thread: on machines with about one core, handing work to a second thread
-            # costs more in wake-ups than it saves.
-            pekko.actor.default-dispatcher.fork-join-executor.parallelism-min = 1
-            pekko.actor.default-dispatcher.fork-join-executor.parallelism-max = 1
+            # costs more in wake-ups than it saves. A fork-join worker prefers the tasks that it
+            # submitted itself, so that one busy connection would delay all others for seconds.
+            pekko.actor.default-dispatcher.executor = thread-pool-executor
+            pekko.actor.default-dispatcher.thread-pool-executor.fixed-pool-size = 1
             pekko.actor.internal-dispatcher = pekko.actor.default-dispatcher
             # Each of the first tasks would start a thread of its own, and there are few tasks.
             pekko.actor.default-blocking-io-dispatcher.thread-pool-executor.fixed-pool-size = 1
--- a/entry/src/test/java/org/bergamotcross/entry/path/EndlessResponseTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/path/EndlessResponseTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ExecutorService;
@@ -26,6 +27,7 @@
   private static final int CALLERS = 24;
   private static final long MAX_BYTES_PER_REQUEST = 1L << 20;
   private static final long MAX_SENT_BYTES = 400L << 20;
+  private static final Duration MAX_OTHER_LATENCY = Duration.ofSeconds(3);
 
   /** Writes a start and then the same text again and again until the connection is closed. */
   private static RawTarget.RequestHandler endless(String start, String text, AtomicLong sent) {
@@ -68,9 +70,11 @@
       Thread.sleep(1_500);
       long used = usedBytes() - before;
       assertThat(used).isLessThan(CALLERS * MAX_BYTES_PER_REQUEST);
-      // The requests of other callers go on.
       for (int i = 0; i < 5; i++) {
+        long startedAt = System.nanoTime();
         assertThat(sound.get("/team/open/sound", KEY).body()).isEqualTo("sound");
+        // A busy connection must not keep the I/O thread to itself until its request times out.
+        assertThat(Duration.ofNanos(System.nanoTime() - startedAt)).isLessThan(MAX_OTHER_LATENCY);
       }
       for (RawCaller caller : callers) {
         caller.close();
