Carry the frames of peers on one thread with a selector

Cause: with a full mesh an instance has two connections to each peer. Each was a stream of its own, so that a heartbeat passed three actors on the way out and two on the way in. At 32 instances the streams took about as much processor time as the exchange duty, and opening them was a third of the I/O work of a start.

Change: PeerNetwork waits in one selector. The exchange duty writes a frame to the socket itself; the network's thread writes only what the socket did not take, and reads. FrameReader bounds the memory of a frame by what was received. A link that can't be opened for lack of descriptors is tried again after the usual back-off. Frames are sent without Nagle's algorithm, because a peer never sends on the connection that carries them.

PeerNetworkTest covers order, partial writes, a peer that does not read, refused, closed and invalid connections.

--- a/entry/src/main/java/org/bergamotcross/entry/peer/ExchangePlugin.java
+++ b/entry/src/main/java/org/bergamotcross/entry/peer/ExchangePlugin.java
@@ -1,18 +1,11 @@
 package org.bergamotcross.entry.peer;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
-import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.CompletionStage;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
-import org.apache.pekko.actor.ActorSystem;
-import org.apache.pekko.stream.javadsl.Sink;
-import org.apache.pekko.stream.javadsl.Tcp;
 import org.bergamotcross.core.membership.InstanceId;
 import org.bergamotcross.core.membership.Member;
 import org.bergamotcross.entry.Broadcasts;
@@ -42,7 +35,6 @@
 
   // Most frames carry the control data of one request; 16,384 of them absorb a burst.
   private static final int RING_CAPACITY = 16_384;
-  private static final Duration BIND_TIMEOUT = Duration.ofSeconds(5);
 
   private final HandlerRegistry handlers = new HandlerRegistry();
   private Member self;
@@ -85,51 +77,35 @@
 
   @Override
   public void start(PluginContext context) throws PluginStartException {
-    ActorSystem system =
-        context
-            .service(ActorSystem.class)
-            .orElseThrow(() -> new IllegalStateException("no plug-in provides an ActorSystem"));
+    PeerNetwork network = context.closer().register("peer-network", listen(context));
     LinkSet links =
         context
             .closer()
             .register(
                 "peer-links",
                 new LinkSet(
-                    (address, onClosed) -> PeerLink.open(system, address, onClosed),
+                    network::connect,
                     (address, generation) ->
                         ring.offerReserved(new ExchangeInput.LinkClosed(address, generation))));
-    listen(context, system);
     context.startDuty(
         EXCHANGE,
         new ExchangeDuty(self, context.settings().value(SEEDS), handlers, links, context));
   }
 
-  private void listen(PluginContext context, ActorSystem system) throws PluginStartException {
+  private PeerNetwork listen(PluginContext context) throws PluginStartException {
     InetSocketAddress address = context.settings().value(EntrySettings.PEER_ADDRESS);
-    CompletionStage<Tcp.ServerBinding> bound =
-        Tcp.get(system)
-            .bind(address.getHostString(), address.getPort())
-            .to(
-                Sink.foreach(
-                    connection ->
-                        connection.handleWith(
-                            PeerLink.receivingFlow(
-                                frame -> ring.offer(new ExchangeInput.InboundFrame(frame))),
-                            system)))
-            .run(system);
     try {
-      Tcp.ServerBinding binding =
-          bound.toCompletableFuture().get(BIND_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
-      context.closer().register("peer-listener", () -> binding.unbind());
-    } catch (ExecutionException | TimeoutException e) {
+      return PeerNetwork.listen(
+          address,
+          frame -> ring.offer(new ExchangeInput.InboundFrame(frame)),
+          context.time(),
+          context.events());
+    } catch (IOException e) {
       throw new PluginStartException(
           "[listen] peers = "
               + formatAddress(address)
               + " cannot be bound; configure an unused address of this machine",
           e);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-      throw new PluginStartException("interrupted while binding " + formatAddress(address), e);
     }
   }
 
--- a/entry/src/main/java/org/bergamotcross/entry/peer/LinkSet.java
+++ b/entry/src/main/java/org/bergamotcross/entry/peer/LinkSet.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.BiFunction;
@@ -32,18 +33,19 @@
     Duration backoff = INITIAL_BACKOFF;
   }
 
-  private final BiFunction<InetSocketAddress, Runnable, PeerLink> linkFactory;
+  private final BiFunction<InetSocketAddress, Runnable, Optional<PeerLink>> linkFactory;
   private final BiConsumer<String, Long> onClosed;
   private final Map<String, LinkState> links = new HashMap<>();
 
   /**
    * Creates an empty set.
    *
-   * @param linkFactory opens a link and runs its second argument when the link ends
+   * @param linkFactory opens a link and runs its second argument when the link ends; empty if no
+   *     link can be opened now
    * @param onClosed receives the address and generation of each link that ends
    */
   LinkSet(
-      BiFunction<InetSocketAddress, Runnable, PeerLink> linkFactory,
+      BiFunction<InetSocketAddress, Runnable, Optional<PeerLink>> linkFactory,
       BiConsumer<String, Long> onClosed) {
     this.linkFactory = linkFactory;
     this.onClosed = onClosed;
@@ -78,7 +80,13 @@
       return false;
     }
     long generation = ++state.generation;
-    state.link = linkFactory.apply(socket.get(), () -> onClosed.accept(address, generation));
+    Optional<PeerLink> link =
+        linkFactory.apply(socket.get(), () -> onClosed.accept(address, generation));
+    if (link.isEmpty()) {
+      scheduleReconnect(state, now);
+      return false;
+    }
+    state.link = link.get();
     state.echoDeadline = now.plus(ECHO_TIMEOUT);
     return true;
   }
@@ -101,6 +109,10 @@
   private static void closeAndScheduleReconnect(LinkState state, ClockReading now) {
     state.link.close();
     state.link = null;
+    scheduleReconnect(state, now);
+  }
+
+  private static void scheduleReconnect(LinkState state, ClockReading now) {
     state.reconnectAt = now.plus(state.backoff);
     Duration doubled = state.backoff.multipliedBy(2);
     state.backoff = doubled.compareTo(MAX_BACKOFF) > 0 ? MAX_BACKOFF : doubled;
--- a/entry/src/main/java/org/bergamotcross/entry/peer/PeerLink.java
+++ b/entry/src/main/java/org/bergamotcross/entry/peer/PeerLink.java
@@ -1,110 +1,154 @@
 package org.bergamotcross.entry.peer;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.nio.ByteOrder;
-import java.time.Duration;
-import java.util.List;
-import java.util.Optional;
-import java.util.function.Consumer;
-import org.apache.pekko.actor.ActorSystem;
-import org.apache.pekko.stream.BoundedSourceQueue;
-import org.apache.pekko.stream.KillSwitches;
-import org.apache.pekko.stream.Materializer;
-import org.apache.pekko.stream.SystemMaterializer;
-import org.apache.pekko.stream.UniqueKillSwitch;
-import org.apache.pekko.stream.javadsl.Flow;
-import org.apache.pekko.stream.javadsl.Framing;
-import org.apache.pekko.stream.javadsl.Keep;
-import org.apache.pekko.stream.javadsl.Sink;
-import org.apache.pekko.stream.javadsl.Source;
-import org.apache.pekko.stream.javadsl.Tcp;
-import org.apache.pekko.util.ByteString;
-import org.apache.pekko.util.ByteStringBuilder;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.bergamotcross.kernel.ClockReading;
 
 /**
- * Sends this instance's frames to one peer over an outgoing TCP connection.
+ * Sends this instance's frames to one peer over an outgoing TCP connection; thread-safe.
  *
  * <p>The peer answers on its own connection, so a partition in one direction affects exactly one of
- * the two connections.
+ * the two connections. A frame is written by the thread that offers it. The thread of {@link
+ * PeerNetwork} writes only what the socket could not take at once.
  */
-final class PeerLink implements AutoCloseable {
-  /** The maximum frame size; configuration snapshots are the largest messages. */
-  static final int MAX_FRAME_BYTES = 16 * 1024 * 1024;
-
+final class PeerLink implements PeerEndpoint, AutoCloseable {
   // Bounds the backlog for a paused peer; further frames are rejected.
-  private static final int MAX_QUEUED_FRAMES = 1024;
-  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
-
-  private final BoundedSourceQueue<ByteString> queue;
-  private final UniqueKillSwitch killSwitch;
+  static final int MAX_QUEUED_FRAMES = 1024;
 
-  private PeerLink(BoundedSourceQueue<ByteString> queue, UniqueKillSwitch killSwitch) {
-    this.queue = queue;
-    this.killSwitch = killSwitch;
-  }
+  private final SocketChannel channel;
+  private final Selector selector;
+  private final Runnable onClosed;
+  private final ClockReading connectDeadline;
+  private final Deque<ByteBuffer> queue = new ArrayDeque<>();
+  private boolean connected;
+  private boolean closed;
 
   /**
-   * Opens a connection; frames offered before it is established are queued.
+   * Creates a link whose connection is being opened.
    *
-   * @param system the actor system that runs the connection
-   * @param address the address of the peer
-   * @param onClosed run once, on a network thread, when the connection has ended
-   * @return the link
+   * @param channel a socket in non-blocking mode
+   * @param selector the selector with which the socket is registered
+   * @param connectDeadline when a connection that is still not established is given up
+   * @param onClosed run once when the connection has ended
    */
-  static PeerLink open(ActorSystem system, InetSocketAddress address, Runnable onClosed) {
-    Materializer materializer = SystemMaterializer.get(system).materializer();
-    var connection =
-        Tcp.get(system)
-            .outgoingConnection(
-                address,
-                Optional.empty(),
-                List.of(),
-                false,
-                Optional.of(CONNECT_TIMEOUT),
-                Optional.empty());
-    var running =
-        Source.<ByteString>queue(MAX_QUEUED_FRAMES)
-            .viaMat(KillSwitches.single(), Keep.both())
-            .via(connection)
-            .toMat(Sink.ignore(), Keep.both())
-            .run(materializer);
-    running.second().whenComplete((done, failure) -> onClosed.run());
-    return new PeerLink(running.first().first(), running.first().second());
+  PeerLink(
+      SocketChannel channel, Selector selector, ClockReading connectDeadline, Runnable onClosed) {
+    this.channel = channel;
+    this.selector = selector;
+    this.connectDeadline = connectDeadline;
+    this.onClosed = onClosed;
+  }
+
+  @Override
+  public SocketChannel channel() {
+    return channel;
   }
 
   /**
-   * Enqueues a frame without blocking.
+   * Sends a frame, or enqueues it, without blocking; frames offered before the connection is
+   * established are queued.
    *
    * @param payload the payload of the frame
    * @return whether the queue had room and the connection was not closed
    */
   boolean offer(byte[] payload) {
-    ByteString frame =
-        new ByteStringBuilder()
-            .putInt(payload.length, ByteOrder.BIG_ENDIAN)
-            .append(ByteString.fromArrayUnsafe(payload))
-            .result();
-    return queue.offer(frame).isEnqueued();
+    try {
+      synchronized (this) {
+        if (closed || queue.size() >= MAX_QUEUED_FRAMES) {
+          return false;
+        }
+        queue.add(
+            ByteBuffer.allocate(Integer.BYTES + payload.length)
+                .putInt(payload.length)
+                .put(payload)
+                .flip());
+        if (connected && queue.size() == 1 && !writeQueued()) {
+          channel.keyFor(selector).interestOpsOr(SelectionKey.OP_WRITE);
+          selector.wakeup();
+        }
+      }
+      return true;
+    } catch (IOException e) {
+      close();
+      return false;
+    }
   }
 
   /**
-   * Creates the flow of an incoming connection, which reads frames and writes nothing.
+   * Handles that the socket is ready.
    *
-   * @param receiver receives the payload of each frame, on a network thread
-   * @return the flow for one incoming connection
+   * @param key the selection key of the socket
+   * @param scratch receives bytes, which are discarded, because peers send nothing here
+   * @throws IOException if the connection has failed or the peer has closed it
    */
-  static Flow<ByteString, ByteString, ?> receivingFlow(Consumer<byte[]> receiver) {
-    return Flow.fromSinkAndSourceCoupled(
-        Flow.of(ByteString.class)
-            .via(Framing.lengthField(Integer.BYTES, 0, MAX_FRAME_BYTES, ByteOrder.BIG_ENDIAN))
-            .to(Sink.foreach(frame -> receiver.accept(frame.drop(Integer.BYTES).toArray()))),
-        Source.maybe());
+  void onReady(SelectionKey key, ByteBuffer scratch) throws IOException {
+    synchronized (this) {
+      if (closed) {
+        return;
+      }
+      if (!connected) {
+        connected = channel.finishConnect();
+      }
+      if (connected) {
+        boolean isQueueEmpty = writeQueued();
+        key.interestOps(SelectionKey.OP_READ | (isQueueEmpty ? 0 : SelectionKey.OP_WRITE));
+      }
+    }
+    if (key.isReadable() && channel.read(scratch.clear()) < 0) {
+      close();
+    }
+  }
+
+  /**
+   * Tells whether the connection is still being opened after its deadline.
+   *
+   * @param now the current time
+   * @return whether it is to be given up
+   */
+  synchronized boolean hasConnectTimedOut(ClockReading now) {
+    return !connected && !closed && !now.isBefore(connectDeadline);
+  }
+
+  /** Tells whether the connection is still being opened. */
+  synchronized boolean isConnecting() {
+    return !connected && !closed;
+  }
+
+  /** Writes queued frames until the socket takes no more; returns whether the queue is empty. */
+  private boolean writeQueued() throws IOException {
+    while (!queue.isEmpty()) {
+      channel.write(queue.getFirst());
+      if (queue.getFirst().hasRemaining()) {
+        return false;
+      }
+      queue.removeFirst();
+    }
+    return true;
   }
 
   @Override
   public void close() {
-    // Completing a connection that is still being opened fails inside Pekko; aborting it does not.
-    killSwitch.abort(new IOException("peer link closed by this instance"));
+    synchronized (this) {
+      if (closed) {
+        return;
+      }
+      closed = true;
+      queue.clear();
+    }
+    try {
+      // Discards unsent frames, which would reach the peer late after a network partition.
+      channel.setOption(StandardSocketOptions.SO_LINGER, 0);
+      channel.close();
+    } catch (IOException e) {
+      // The connection has ended already.
+    }
+    selector.wakeup();
+    onClosed.run();
   }
 }
