Wake other duties for several echoes of heartbeats at once

Cause: each echo was published on its own and woke the admission duty; in a profile of the exchange duty at 32 instances 38 of 227 samples were the wake-up. Each heartbeat also recorded all candidates of its sender as alive, n x n entries a second, although the roster counts silence in hours.

Change: EchoBatch collects echoes that bring nothing new for up to 100 ms; a new peer, incarnation, offset or delegation is published at once, as before. The candidates that a peer names are recorded when they change and every 10 s.

--- a/entry/src/main/java/org/bergamotcross/entry/Broadcasts.java
+++ b/entry/src/main/java/org/bergamotcross/entry/Broadcasts.java
@@ -24,8 +24,8 @@
   /** Until when the instance may act on its configuration; published by the config duty. */
   public static final Broadcast<Freshness> FRESHNESS = new Broadcast<>("freshness");
 
-  /** A peer echoed a heartbeat of this instance; published by the exchange duty. */
-  public static final Broadcast<HeartbeatEcho> HEARTBEAT_ECHO = new Broadcast<>("peer-echo");
+  /** Peers echoed heartbeats of this instance; published by the exchange duty. */
+  public static final Broadcast<HeartbeatEchoes> HEARTBEAT_ECHOES = new Broadcast<>("peer-echoes");
 
   /** A graceful shutdown started; published again with an earlier limit after a second signal. */
   public static final Broadcast<Shutdown> SHUTDOWN = new Broadcast<>("stopping");
@@ -144,6 +144,18 @@
   public record HeartbeatEcho(
       Member peer, ClockReading heartbeatSentAt, long offset, Delegation delegation) {}
 
+  /**
+   * Echoes that arrived one after the other.
+   *
+   * @param echoes the echoes in the order of their arrival
+   */
+  public record HeartbeatEchoes(List<HeartbeatEcho> echoes) {
+    /** Makes a defensive copy of the list. */
+    public HeartbeatEchoes {
+      echoes = List.copyOf(echoes);
+    }
+  }
+
   /**
    * The start of a graceful shutdown.
    *
--- a/entry/src/main/java/org/bergamotcross/entry/duties/AdmissionDuty.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/AdmissionDuty.java
@@ -167,12 +167,8 @@
     switch (event) {
       case AdmissionEvent.ConfigurationChanged changed -> configure(changed.configuration(), now);
       case AdmissionEvent.FreshnessChanged changed -> updateFreshness(changed.freshness());
-      case AdmissionEvent.HeartbeatEchoed echoed -> {
-        HeartbeatEcho echo = echoed.echo();
-        quorum.recordOffset(echo.peer().id(), echo.offset());
-        updateDelegatedRates(
-            r -> r.onDelegation(echo.peer(), echo.delegation(), echo.heartbeatSentAt(), now));
-      }
+      case AdmissionEvent.HeartbeatsEchoed echoed ->
+          echoed.echoes().forEach(echo -> onHeartbeatEcho(echo, now));
       case AdmissionEvent.PeerRestarted restarted ->
           updateDelegatedRates(r -> r.onPeerRestart(restarted.peer(), now));
       case AdmissionEvent.PeersChanged changed ->
@@ -188,6 +184,12 @@
     }
   }
 
+  private void onHeartbeatEcho(HeartbeatEcho echo, ClockReading now) {
+    quorum.recordOffset(echo.peer().id(), echo.offset());
+    updateDelegatedRates(
+        r -> r.onDelegation(echo.peer(), echo.delegation(), echo.heartbeatSentAt(), now));
+  }
+
   private void updateDelegatedRates(Consumer<DelegatingRateLimiter> change) {
     switch (rates) {
       case DelegatingRateLimiter delegated -> change.accept(delegated);
--- a/entry/src/main/java/org/bergamotcross/entry/duties/AdmissionEvent.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/AdmissionEvent.java
@@ -1,5 +1,6 @@
 package org.bergamotcross.entry.duties;
 
+import java.util.List;
 import org.bergamotcross.core.config.Configuration;
 import org.bergamotcross.core.membership.FleetView;
 import org.bergamotcross.core.membership.InstanceId;
@@ -27,11 +28,16 @@
   record FreshnessChanged(Freshness freshness) implements AdmissionEvent {}
 
   /**
-   * A peer echoed a heartbeat.
+   * Peers echoed heartbeats.
    *
-   * @param echo the echo
+   * @param echoes the echoes in the order of their arrival
    */
-  record HeartbeatEchoed(HeartbeatEcho echo) implements AdmissionEvent {}
+  record HeartbeatsEchoed(List<HeartbeatEcho> echoes) implements AdmissionEvent {
+    /** Makes a defensive copy of the list. */
+    public HeartbeatsEchoed {
+      echoes = List.copyOf(echoes);
+    }
+  }
 
   /**
    * A peer introduced itself for the first time or with a new incarnation.
--- a/entry/src/main/java/org/bergamotcross/entry/duties/AdmissionPlugin.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/AdmissionPlugin.java
@@ -66,8 +66,8 @@
         Broadcasts.FRESHNESS,
         next -> ring.offerReserved(new AdmissionEvent.FreshnessChanged(next)));
     context.subscribe(
-        Broadcasts.HEARTBEAT_ECHO,
-        echo -> ring.offerReserved(new AdmissionEvent.HeartbeatEchoed(echo)));
+        Broadcasts.HEARTBEAT_ECHOES,
+        message -> ring.offerReserved(new AdmissionEvent.HeartbeatsEchoed(message.echoes())));
     context.subscribe(
         Broadcasts.PEER_RESTARTED,
         peer -> ring.offerReserved(new AdmissionEvent.PeerRestarted(peer)));
--- a/entry/src/main/java/org/bergamotcross/entry/duties/ConfigMessage.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/ConfigMessage.java
@@ -1,5 +1,6 @@
 package org.bergamotcross.entry.duties;
 
+import java.util.List;
 import org.bergamotcross.entry.Broadcasts;
 import org.bergamotcross.entry.PeerExchange.Sender;
 import org.bergamotcross.entry.platform.PlatformClient.AppendResult;
@@ -36,11 +37,16 @@
   record InstanceListReadCompleted(ListResult result) implements ConfigMessage {}
 
   /**
-   * A peer echoed a heartbeat.
+   * Peers echoed heartbeats.
    *
-   * @param echo the echo
+   * @param echoes the echoes in the order of their arrival
    */
-  record HeartbeatEchoed(Broadcasts.HeartbeatEcho echo) implements ConfigMessage {}
+  record HeartbeatsEchoed(List<Broadcasts.HeartbeatEcho> echoes) implements ConfigMessage {
+    /** Makes a defensive copy of the list. */
+    public HeartbeatsEchoed {
+      echoes = List.copyOf(echoes);
+    }
+  }
 
   /**
    * A message from the config duty of a peer arrived.
--- a/entry/src/main/java/org/bergamotcross/entry/duties/ConfigPlugin.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/ConfigPlugin.java
@@ -61,7 +61,8 @@
     status.set(initialStatus(context, 0));
     context.provide(StatusSource.class, status::get);
     context.subscribe(
-        Broadcasts.HEARTBEAT_ECHO, echo -> ring.offer(new ConfigMessage.HeartbeatEchoed(echo)));
+        Broadcasts.HEARTBEAT_ECHOES,
+        message -> ring.offer(new ConfigMessage.HeartbeatsEchoed(message.echoes())));
     context.subscribe(
         Broadcasts.SHUTDOWN, shutdown -> ring.offerReserved(new ConfigMessage.ShutdownStarted()));
   }
--- a/entry/src/main/java/org/bergamotcross/entry/peer/ExchangeDuty.java
+++ b/entry/src/main/java/org/bergamotcross/entry/peer/ExchangeDuty.java
@@ -16,6 +16,7 @@
 import org.bergamotcross.core.membership.PeerView;
 import org.bergamotcross.entry.Broadcasts;
 import org.bergamotcross.entry.Broadcasts.HeartbeatEcho;
+import org.bergamotcross.entry.Broadcasts.HeartbeatEchoes;
 import org.bergamotcross.entry.EntrySettings;
 import org.bergamotcross.entry.PeerExchange.Sender;
 import org.bergamotcross.kernel.ClockReading;
@@ -46,6 +47,7 @@
   private final PeerTable peers;
   private final Duration heartbeatInterval;
   private final Duration maxEchoAge;
+  private final EchoBatch echoes = new EchoBatch();
   private PeerView publishedPeers = PeerView.NONE;
   private FleetView fleet = FleetView.NONE;
   private byte[] encodedDelegation = new byte[0];
@@ -109,10 +111,12 @@
   public Duration onTick(ClockReading now) {
     // Called after each message, too; with many peers, most messages are heartbeats, which leave
     // nothing to do.
+    publishEchoes(now);
     if (now.isBefore(nextTickAt)) {
-      return nextTickAt.since(now);
+      return nextWakeUpAt().since(now);
     }
     peers.removeSilentNonMembers(now);
+    echoes.retainPeers(peers.addresses().keySet());
     maintainLinks(now);
     boolean isDelegationChanged = updateFleet(now);
     if (isDelegationChanged || nextHeartbeatAt.isEmpty() || !now.isBefore(nextHeartbeatAt.get())) {
@@ -125,7 +129,18 @@
     if (nextFleetUpdateAt.filter(nextTickAt::isAfter).isPresent()) {
       nextTickAt = nextFleetUpdateAt.get();
     }
-    return nextTickAt.since(now);
+    return nextWakeUpAt().since(now);
+  }
+
+  private ClockReading nextWakeUpAt() {
+    return echoes.dueAt().filter(nextTickAt::isAfter).orElse(nextTickAt);
+  }
+
+  private void publishEchoes(ClockReading now) {
+    List<HeartbeatEcho> due = echoes.takeDue(now);
+    if (!due.isEmpty()) {
+      context.publish(Broadcasts.HEARTBEAT_ECHOES, new HeartbeatEchoes(due));
+    }
   }
 
   /** Updates the fleet view and returns whether peers must learn of a new delegation at once. */
@@ -320,13 +335,14 @@
     Optional<Member> peer = peers.find(from.id());
     if (echo.isPresent() && peer.isPresent()) {
       links.recordEcho(peer.get().peerAddress(), now);
-      context.publish(
-          Broadcasts.HEARTBEAT_ECHO,
+      echoes.add(
           new HeartbeatEcho(
               peer.get(),
               echo.get().heartbeatSentAt(),
               heartbeat.offset(),
-              echo.get().delegation()));
+              echo.get().delegation()),
+          now);
+      publishEchoes(now);
     }
     if (heartbeat.echoSequence() == 0) {
       // The peer has not received a heartbeat from this instance yet; replying now spares it the
--- a/entry/src/main/java/org/bergamotcross/entry/peer/PeerTable.java
+++ b/entry/src/main/java/org/bergamotcross/entry/peer/PeerTable.java
@@ -34,6 +34,9 @@
   // 32 heartbeats of 500 ms cover 16 s, more than five times as long as an echo stays valid.
   private static final int MAX_SENT_HEARTBEATS = 32;
 
+  // The roster counts silence in hours, and each heartbeat names nearly all instances.
+  private static final Duration CANDIDATES_INTERVAL = Duration.ofSeconds(10);
+
   private record SentHeartbeat(long sequence, long planVersion, ClockReading sentAt) {}
 
   /**
@@ -54,11 +57,14 @@
     long confirmedPlanVersion;
     boolean connectionLost;
     boolean released;
+    Optional<Delegation> announced = Optional.empty();
+    ClockReading candidatesDueAt;
     final Deque<SentHeartbeat> sentHeartbeats = new ArrayDeque<>();
 
     Peer(Member member, ClockReading heardAt) {
       this.member = member;
       this.lastHeardAt = heardAt;
+      this.candidatesDueAt = heardAt;
     }
 
     DelegationPlan.PeerState planState() {
@@ -317,9 +323,14 @@
     if (announcement.get().registered()) {
       roster.recordRegistration(id);
     }
-    peers.get(id).released = announcement.get().released();
+    Peer peer = peers.get(id);
+    peer.released = announcement.get().released();
     Delegation delegation = announcement.get().delegation();
-    roster.recordAlive(delegation.candidates().list().stream().map(Member::id).toList(), now);
+    if (!peer.announced.equals(Optional.of(delegation)) || !now.isBefore(peer.candidatesDueAt)) {
+      peer.announced = Optional.of(delegation);
+      peer.candidatesDueAt = now.plus(CANDIDATES_INTERVAL);
+      roster.recordAlive(delegation.candidates().list().stream().map(Member::id).toList(), now);
+    }
     return delegation;
   }
 
--- a/entry/src/test/java/org/bergamotcross/entry/duties/SimulatedFleet.java
+++ b/entry/src/test/java/org/bergamotcross/entry/duties/SimulatedFleet.java
@@ -168,9 +168,10 @@
           ClockReading echoed = from.receivedHeartbeats.get(to.member.id().value());
           if (echoed != null) {
             to.inbox.add(
-                new ConfigMessage.HeartbeatEchoed(
-                    new Broadcasts.HeartbeatEcho(
-                        from.member, echoed, from.offset(), Delegation.NONE)));
+                new ConfigMessage.HeartbeatsEchoed(
+                    List.of(
+                        new Broadcasts.HeartbeatEcho(
+                            from.member, echoed, from.offset(), Delegation.NONE))));
           }
         }
       }
--- a/entry/src/test/java/org/bergamotcross/entry/peer/ExchangePluginTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/peer/ExchangePluginTest.java
@@ -53,7 +53,9 @@
   void start() throws PluginStartException {
     first = kernel("a", firstPort, "");
     second = kernel("b", secondPort, "[peers]\nseeds = 127.0.0.1:" + firstPort + "\n");
-    first.context().subscribe(Broadcasts.HEARTBEAT_ECHO, echoes::add);
+    first
+        .context()
+        .subscribe(Broadcasts.HEARTBEAT_ECHOES, message -> echoes.addAll(message.echoes()));
     first.start();
     second.start();
     exchange(first)
