Encode heartbeats by hand and keep a delegation that did not change

Change: FrameCodec writes and reads envelopes and heartbeats with the same encoding as before. DelegationPlan builds its delegation only after a candidate, a state or the number of shares has changed.

--- a/core/src/main/java/org/bergamotcross/core/membership/DelegationPlan.java
+++ b/core/src/main/java/org/bergamotcross/core/membership/DelegationPlan.java
@@ -79,6 +79,7 @@
   private final Map<InstanceId, CandidateState> states = new HashMap<>();
   private Delegation current = Delegation.NONE;
   private long version;
+  private boolean isOutdated;
 
   /**
    * Creates a plan that delegates nothing.
@@ -111,13 +112,22 @@
       candidates.clear();
       states.clear();
       present.keySet().forEach(id -> states.put(id, new CandidateState.Active()));
+      isOutdated = true;
     } else {
       Set.copyOf(states.keySet())
           .forEach(id -> transition(id, present.containsKey(id), peers, now));
-      present.keySet().forEach(id -> states.putIfAbsent(id, joining(now)));
+      present.keySet().stream()
+          .filter(id -> !states.containsKey(id))
+          .forEach(id -> replaceState(id, joining(now)));
     }
-    candidates.putAll(present);
-    candidates.keySet().retainAll(states.keySet());
+    present.forEach((id, member) -> isOutdated |= !member.equals(candidates.put(id, member)));
+    isOutdated |= candidates.keySet().retainAll(states.keySet());
+    // Most updates change nothing, and with many candidates building the delegation is the larger
+    // part of an update.
+    if (!isOutdated && shares == current.shares()) {
+      return current;
+    }
+    isOutdated = false;
     Delegation next = buildDelegation(shares);
     if (!next.equals(current)) {
       current = next;
@@ -143,31 +153,41 @@
               peer.filter(PeerState::released).isPresent()
                   ? now
                   : peer.map(PeerState::lastHeardAt).orElse(now).plus(LEASE_EXPIRY);
-          states.put(id, new CandidateState.Absent(until));
+          replaceState(id, new CandidateState.Absent(until));
           transition(id, false, peers, now);
         }
       }
       case CandidateState.Absent absent -> {
         if (isPresent) {
-          states.put(id, new CandidateState.Active());
+          replaceState(id, new CandidateState.Active());
         } else if (!now.isBefore(absent.until())) {
-          states.remove(id);
+          removeState(id);
         }
       }
       case CandidateState.Joining joining -> {
         if (!isPresent) {
-          states.remove(id);
+          removeState(id);
         } else if (!now.isBefore(joining.until())) {
-          states.put(id, new CandidateState.Active());
+          replaceState(id, new CandidateState.Active());
         } else if (isConfirmed(joining, peers, now)) {
           ClockReading appliedAt = now.plus(MAX_APPLY_DELAY);
           ClockReading until = joining.until().isBefore(appliedAt) ? joining.until() : appliedAt;
-          states.put(id, new CandidateState.Joining(CONFIRMED_BY_ALL, until));
+          replaceState(id, new CandidateState.Joining(CONFIRMED_BY_ALL, until));
         }
       }
     }
   }
 
+  private void replaceState(InstanceId id, CandidateState state) {
+    states.put(id, state);
+    isOutdated = true;
+  }
+
+  private void removeState(InstanceId id) {
+    states.remove(id);
+    isOutdated = true;
+  }
+
   /** Tells whether no candidate uses a delegation older than the version any more. */
   private boolean isConfirmed(
       CandidateState.Joining joining,
--- a/entry/src/main/java/org/bergamotcross/entry/peer/ExchangeDuty.java
+++ b/entry/src/main/java/org/bergamotcross/entry/peer/ExchangeDuty.java
@@ -44,6 +44,7 @@
   private final LinkSet links;
   private final PluginContext context;
   private final PeerCodec codec = new PeerCodec();
+  private final FrameCodec frames = new FrameCodec();
   private final PeerTable peers;
   private final Duration heartbeatInterval;
   private final Duration maxEchoAge;
@@ -260,8 +261,11 @@
   }
 
   private byte[] encodeFrame(String kind, Record message) {
-    return codec.encode(
-        new Envelope(kind, self.id().value(), self.incarnation(), codec.encode(message)));
+    byte[] body =
+        message instanceof PeerMessages.Heartbeat heartbeat
+            ? frames.encode(heartbeat)
+            : codec.encode(message);
+    return frames.encode(new Envelope(kind, self.id().value(), self.incarnation(), body));
   }
 
   private void offerFrame(String address, byte[] frame) {
@@ -274,8 +278,8 @@
   }
 
   private void handleFrame(byte[] frame, ClockReading now) {
-    codec
-        .decode(frame, Envelope.class)
+    frames
+        .decodeEnvelope(frame)
         .ifPresentOrElse(envelope -> dispatch(envelope, now), unreadableFrames::mark);
   }
 
@@ -291,8 +295,8 @@
               .decode(envelope.body(), PeerMessages.PeerList.class)
               .ifPresentOrElse(peerList -> handlePeerList(peerList, now), unreadableFrames::mark);
       case PeerMessages.HEARTBEAT ->
-          codec
-              .decode(envelope.body(), PeerMessages.Heartbeat.class)
+          frames
+              .decodeHeartbeat(envelope.body())
               .ifPresentOrElse(
                   heartbeat -> handleHeartbeat(from, heartbeat, now), unreadableFrames::mark);
       default -> {
