Hand a received frame over without another copy

Cause: a frame of 16 MiB was collected in a stream that doubles its buffer, and copied at its end, which held up to 64 MB of an instance's heap of 80 MB. Found by reading PeerNetwork.

Change: the payload grows with what was received up to the exact length of the frame, and is handed over itself; at most 24 MB are held while it grows.

--- a/entry/src/main/java/org/bergamotcross/entry/peer/FrameReader.java
+++ b/entry/src/main/java/org/bergamotcross/entry/peer/FrameReader.java
@@ -1,8 +1,8 @@
 package org.bergamotcross.entry.peer;
 
-import java.io.ByteArrayOutputStream;
 import java.net.ProtocolException;
 import java.nio.ByteBuffer;
+import java.util.Arrays;
 import java.util.function.Consumer;
 
 /** Splits the bytes of one incoming connection into frames. */
@@ -10,11 +10,9 @@
   /** The maximum frame size; configuration snapshots are the largest messages. */
   static final int MAX_FRAME_BYTES = 16 * 1024 * 1024;
 
-  // A peer may announce a large frame and never send it, so the memory grows with what it sends.
-  private static final int INITIAL_PAYLOAD_BYTES = 1_024;
-
   private final ByteBuffer header = ByteBuffer.allocate(Integer.BYTES);
-  private final ByteArrayOutputStream payload = new ByteArrayOutputStream(INITIAL_PAYLOAD_BYTES);
+  private byte[] payload = new byte[0];
+  private int receivedBytes;
 
   /**
    * Reads the available bytes.
@@ -40,19 +38,26 @@
       throw new ProtocolException(
           "expected a frame of at most " + MAX_FRAME_BYTES + " bytes, found length " + length);
     }
-    byte[] part = new byte[Math.min(length - payload.size(), bytes.remaining())];
-    bytes.get(part);
-    if (part.length == length) {
-      header.clear();
-      receiver.accept(part);
-      return;
-    }
-    payload.writeBytes(part);
-    if (payload.size() == length) {
-      byte[] frame = payload.toByteArray();
-      payload.reset();
+    int count = Math.min(length - receivedBytes, bytes.remaining());
+    ensureCapacity(receivedBytes + count, length);
+    bytes.get(payload, receivedBytes, count);
+    receivedBytes += count;
+    if (receivedBytes == length) {
+      byte[] frame = payload;
+      payload = new byte[0];
+      receivedBytes = 0;
       header.clear();
       receiver.accept(frame);
     }
   }
+
+  /**
+   * Enlarges the payload with what the peer has sent, because a peer may announce a large frame and
+   * never send it. The last enlargement reaches the exact length, so that no copy is needed.
+   */
+  private void ensureCapacity(int bytes, int length) {
+    if (bytes > payload.length) {
+      payload = Arrays.copyOf(payload, Math.min(length, Math.max(bytes, 2 * payload.length)));
+    }
+  }
 }
