--- a/review/standins/review/ForgottenRemoval.java
+++ b/review/standins/review/ForgottenRemoval.java
@@ -48,10 +48,12 @@
     BackendStandin leaving = backends.getFirst();
     Map<String, ?> runsBefore = Map.copyOf(leaving.runs());
     leaving.removeEntry();
-    report.say("the removal of the entry of %s is acknowledged", leaving.id());
     if (scene.trouble()) {
       store.compact("keyed.servers");
-      report.say("the store deletes the history of keyed.servers");
+    }
+    report.say("the removal of the entry of %s is acknowledged", leaving.id());
+    if (scene.trouble()) {
+      report.say("the store has deleted the history of keyed.servers");
     }
     Thread.sleep(QUIET_MS);
 
