Review: keep the platform's names out of the stand-ins' Java code

They are now in review/standins/wire.properties, as settings, and build.sh copies them beside the classes. The code is formatted by the project's formatter. The cases do the same as before.

--- a/review/build.sh
+++ b/review/build.sh
@@ -5,3 +5,4 @@
 rm -rf target/review
 mkdir -p target/review
 target/jdk/bin/javac --release 21 -d target/review review/standins/review/*.java
+cp review/standins/wire.properties target/review/
--- a/review/standins/review/BackendStandin.java
+++ b/review/standins/review/BackendStandin.java
@@ -17,7 +17,7 @@
 
 /**
  * A backend: registers itself in the store, runs a few requests at a time, queues a few more and
- * turns the rest away with {@code X-Bergamotcross-Not-Executed}.
+ * turns the rest away as not executed.
  */
 final class BackendStandin implements AutoCloseable {
   /** What a faulty backend does besides what a sound one does. */
@@ -26,8 +26,7 @@
     Fault NONE = new Fault() {};
 
     /** May write bytes when the backend begins to work on a request. */
-    default void onRun(HttpMessage request, OutputStream out, Channel channel)
-        throws IOException {}
+    default void onRun(HttpMessage request, OutputStream out, Channel channel) throws IOException {}
 
     /** Learns of an answer that was written. */
     default void afterAnswer(HttpMessage request, byte[] answer, Channel channel) {}
@@ -97,7 +96,7 @@
   synchronized void removeEntry() {
     registered = false;
     leaving = true;
-    store.put("keyed.servers", id, new byte[0]);
+    store.put(Wire.BACKENDS_TOPIC, id, new byte[0]);
   }
 
   private synchronized void writeEntry(String state) {
@@ -110,8 +109,14 @@
             "{\"address\":\"127.0.0.1:%d\",\"info\":{\"service\":\"%s\",\"version\":\"v1\","
                 + "\"zone\":\"%s\",\"slots\":%d},\"status\":{\"state\":\"%s\",\"seq_no\":%d,"
                 + "\"warmup_left\":\"0ms\"},\"born\":%d}",
-            socket.getLocalPort(), service, zone, SLOTS, state, ++sequence, bornMillis);
-    store.put("keyed.servers", id, entry.getBytes(StandardCharsets.UTF_8));
+            socket.getLocalPort(),
+            service,
+            zone,
+            SLOTS,
+            state,
+            ++sequence,
+            bornMillis);
+    store.put(Wire.BACKENDS_TOPIC, id, entry.getBytes(StandardCharsets.UTF_8));
   }
 
   private void sendHeartbeats() {
@@ -161,16 +166,16 @@
 
   private byte[] handle(HttpMessage request, OutputStream out, Channel channel)
       throws IOException, InterruptedException {
-    String attempt = request.header("X-Bergamotcross-Attempt-Id").orElse("");
+    String attempt = request.header(Wire.ATTEMPT_ID).orElse("");
     if (request.target().equals("/health")) {
-      return answer(200, attempt, "X-Bergamotcross-Instance-Id: " + id + "\r\n", "");
+      return answer(200, attempt, Wire.INSTANCE + ": " + id + "\r\n", "");
     }
-    if (request.header("X-Bergamotcross-Expect-Instance").filter(e -> !e.equals(id)).isPresent()) {
-      return answer(421, attempt, "X-Bergamotcross-Instance-Id: " + id + "\r\n", "");
+    if (request.header(Wire.EXPECTED_INSTANCE).filter(e -> !e.equals(id)).isPresent()) {
+      return answer(421, attempt, Wire.INSTANCE + ": " + id + "\r\n", "");
     }
     if (!takeSlot()) {
       report.line("backend %s turns %s away (503, not executed)", id, attempt);
-      return answer(503, attempt, "X-Bergamotcross-Not-Executed: 1\r\n", "");
+      return answer(503, attempt, Wire.NOT_EXECUTED + ": 1\r\n", "");
     }
     try {
       int count = runs.computeIfAbsent(attempt, a -> new AtomicInteger()).incrementAndGet();
@@ -181,7 +186,11 @@
       slots.release();
     }
     report.line("backend %s answers %s with 200", id, attempt);
-    return answer(200, attempt, "X-Bergamotcross-Server-Seal: " + id + "." + attempt + "\r\n", "done by " + id + " ".repeat(answerBytes));
+    return answer(
+        200,
+        attempt,
+        Wire.SEAL + ": " + id + "." + attempt + "\r\n",
+        "done by " + id + " ".repeat(answerBytes));
   }
 
   private boolean takeSlot() throws InterruptedException {
@@ -201,12 +210,16 @@
   }
 
   private byte[] answer(int status, String attempt, String headers, String body) {
-    return ("HTTP/1.1 " + status + " Status\r\n"
-            + (attempt.isEmpty() ? "" : "X-Bergamotcross-Attempt-Id: " + attempt + "\r\n")
+    return ("HTTP/1.1 "
+            + status
+            + " Status\r\n"
+            + (attempt.isEmpty() ? "" : Wire.ATTEMPT_ID + ": " + attempt + "\r\n")
             + headers
-            + (leaving ? "Server-Leaving: 1\r\n" : "")
+            + (leaving ? Wire.LEAVING + ": 1\r\n" : "")
             + "Keep-Alive: timeout=10\r\nContent-Type: text/plain\r\nContent-Length: "
-            + body.length() + "\r\n\r\n" + body)
+            + body.length()
+            + "\r\n\r\n"
+            + body)
         .getBytes(StandardCharsets.ISO_8859_1);
   }
 
--- a/review/standins/review/Caller.java
+++ b/review/standins/review/Caller.java
@@ -29,7 +29,7 @@
     @Override
     public String toString() {
       return answer
-          .map(a -> a.startLine() + a.header("X-Bergamotcross-Refusal").map(r -> " " + r).orElse(""))
+          .map(a -> a.startLine() + a.header(Wire.REFUSAL).map(r -> " " + r).orElse(""))
           .orElse("no answer: " + problem);
     }
   }
@@ -57,10 +57,22 @@
       Socket open = socket.orElseThrow();
       open.setSoTimeout(budgetMs + 1_000);
       String head =
-          method + " " + path + " HTTP/1.1\r\nHost: shop.example\r\nX-Bergamotcross-Attempt-Id: "
-              + id + "\r\nX-Bergamotcross-Deadline-Ms: " + budgetMs
-              + "\r\nAuthorization: Bearer " + key + "\r\n"
-              + (method.equals("POST") ? "Content-Length: " + bodyBytes + "\r\n" : "") + "\r\n";
+          method
+              + " "
+              + path
+              + " HTTP/1.1\r\nHost: shop.example\r\n"
+              + Wire.ATTEMPT_ID
+              + ": "
+              + id
+              + "\r\n"
+              + Wire.DEADLINE
+              + ": "
+              + budgetMs
+              + "\r\nAuthorization: Bearer "
+              + key
+              + "\r\n"
+              + (method.equals("POST") ? "Content-Length: " + bodyBytes + "\r\n" : "")
+              + "\r\n";
       open.getOutputStream()
           .write((head + "x".repeat(bodyBytes)).getBytes(StandardCharsets.ISO_8859_1));
       HttpMessage answer = HttpMessage.read(in);
--- a/review/standins/review/Fleet.java
+++ b/review/standins/review/Fleet.java
@@ -55,7 +55,8 @@
         socket.setSoTimeout(1_000);
         socket
             .getOutputStream()
-            .write("GET /v1/ready HTTP/1.1\r\nHost: ready\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+            .write(
+                "GET /v1/ready HTTP/1.1\r\nHost: ready\r\n\r\n".getBytes(StandardCharsets.UTF_8));
         return HttpMessage.read(socket.getInputStream()).status() == 200;
       } catch (IOException e) {
         return false;
@@ -123,7 +124,7 @@
     fields.put("zone", instance.zone);
     fields.put("listen.front", "127.0.0.1:" + instance.callerPort);
     fields.put("listen.control", "127.0.0.1:" + instance.peerPort);
-    fields.put("listen.ready_addr", "127.0.0.1:" + instance.operationsPort);
+    fields.put(Wire.READY_ADDRESS, "127.0.0.1:" + instance.operationsPort);
     fields.put("platform.address", instance.store.hostAndPort());
     fields.put(
         "seeds",
@@ -137,8 +138,7 @@
     fields.put("bounds.quota_overshoot", "0.1");
     fields.put("bounds.quota_slack", "20");
     fields.put("bounds.grace", "6s");
-    Matcher matcher =
-        PLACEHOLDER.matcher(Files.readString(root.resolve("platform/entry.ini")));
+    Matcher matcher = PLACEHOLDER.matcher(Files.readString(root.resolve("platform/entry.ini")));
     return matcher.replaceAll(
         m -> {
           if (!fields.containsKey(m.group(1))) {
--- a/review/standins/review/ForgottenRemoval.java
+++ b/review/standins/review/ForgottenRemoval.java
@@ -38,7 +38,12 @@
       backends.add(
           scene.closeLater(
               new BackendStandin(
-                  "i-" + i, "orders", "zone-" + (char) ('a' + i % 3), WORK_MS, QUEUE_LENGTH, store,
+                  "i-" + i,
+                  "orders",
+                  "zone-" + (char) ('a' + i % 3),
+                  WORK_MS,
+                  QUEUE_LENGTH,
+                  store,
                   report)));
     }
     scene.fleet().start(INSTANCES, store);
@@ -49,11 +54,11 @@
     Map<String, ?> runsBefore = Map.copyOf(leaving.runs());
     leaving.removeEntry();
     if (scene.trouble()) {
-      store.compact("keyed.servers");
+      store.compact(Wire.BACKENDS_TOPIC);
     }
     report.say("the removal of the entry of %s is acknowledged", leaving.id());
     if (scene.trouble()) {
-      report.say("the store has deleted the history of keyed.servers");
+      report.say("the store has deleted the history of %s", Wire.BACKENDS_TOPIC);
     }
     Thread.sleep(QUIET_MS);
 
@@ -71,7 +76,8 @@
       }
     }
     report.say(
-        "%d requests that were sent %d ms after the acknowledgement reached %s, %d of them were lost",
+        "%d requests that were sent %d ms after the acknowledgement reached %s, %d of them were"
+            + " lost",
         late, QUIET_MS, leaving.id(), lost);
     return late == 0;
   }
@@ -101,8 +107,9 @@
                       Caller.Outcome outcome =
                           caller.send("POST", "/orders/pane", "key-of-shop", 8_000, 200);
                       outcomes.put(outcome.id(), outcome);
-                      scene.report().line(
-                          "%s answers %s with %s", instance.name, outcome.id(), outcome);
+                      scene
+                          .report()
+                          .line("%s answers %s with %s", instance.name, outcome.id(), outcome);
                     }
                   }));
     }
--- a/review/standins/review/LastMachine.java
+++ b/review/standins/review/LastMachine.java
@@ -8,9 +8,9 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * All machines but one are lost, and all consumers of the site go on at the one that is left, at the
- * site's usual rate. Exits with 1 if requests there stay without an answer beyond the timeout of
- * their route.
+ * All machines but one are lost, and all consumers of the site go on at the one that is left, at
+ * the site's usual rate. Exits with 1 if requests there stay without an answer beyond the timeout
+ * of their route.
  */
 final class LastMachine {
   private static final int INSTANCES = 4;
@@ -34,8 +34,15 @@
    * @param weight its share of all requests, relative to the other kinds
    */
   private record Kind(
-      String method, String service, double weight, int workMs, int timeoutMs, int budgetMs,
-      int requestBytes, int answerBytes, int backends) {}
+      String method,
+      String service,
+      double weight,
+      int workMs,
+      int timeoutMs,
+      int budgetMs,
+      int requestBytes,
+      int answerBytes,
+      int backends) {}
 
   private static final List<Kind> KINDS =
       List.of(
@@ -65,14 +72,21 @@
           .service(kind.service())
           .route(
               "/" + kind.service() + "/",
-              kind.method().equals("POST") ? "unsafe" : "safe", kind.service(), kind.timeoutMs(),
+              kind.method().equals("POST") ? "unsafe" : "safe",
+              kind.service(),
+              kind.timeoutMs(),
               2);
       for (int i = 0; i < kind.backends(); i++) {
         BackendStandin backend =
             scene.closeLater(
                 new BackendStandin(
-                    "i-" + number, kind.service(), "zone-" + (char) ('a' + number % 3),
-                    kind.workMs(), 16, store, report));
+                    "i-" + number,
+                    kind.service(),
+                    "zone-" + (char) ('a' + number % 3),
+                    kind.workMs(),
+                    16,
+                    store,
+                    report));
         backend.answerBytes = kind.answerBytes();
         number++;
       }
@@ -111,8 +125,13 @@
     report.say(
         "later than %d ms after the burst: %d requests; complete answers in time: %d; unanswered"
             + " at the route's timeout: %d, of these also %d ms later: %d; %s is %s",
-        CONTACT_MS, sent.get(), answered.get(), overdue.get(),
-        TIMEOUT_MARGIN_MS, unanswered.get(), instances.get(0).name,
+        CONTACT_MS,
+        sent.get(),
+        answered.get(),
+        overdue.get(),
+        TIMEOUT_MARGIN_MS,
+        unanswered.get(),
+        instances.get(0).name,
         instances.get(0).process.isAlive() ? "alive" : "gone");
     report.say("GET /v1/ready of %s: %s", instances.get(0).name, instances.get(0).isReady());
     if (Files.readString(scene.fleet().log(instances.get(0))).contains("OutOfMemoryError")) {
@@ -139,7 +158,8 @@
         long pause = (long) (-Math.log(1 - random.nextDouble()) * MEAN_PAUSE_MS);
         Thread.sleep(pause);
         if (pause > MAX_IDLE_MS) {
-          // The consumer doesn't reuse a channel that has been idle for so long; it opens a new one.
+          // The consumer doesn't reuse a channel that has been idle for so long; it opens a new
+          // one.
           caller.close();
         }
       }
@@ -187,7 +207,10 @@
     long sentAt = System.nanoTime();
     Caller.Outcome outcome =
         caller.send(
-            kind.method(), "/" + kind.service() + "/1", "key-of-shop", kind.budgetMs(),
+            kind.method(),
+            "/" + kind.service() + "/1",
+            "key-of-shop",
+            kind.budgetMs(),
             kind.requestBytes());
     long tookMs = (System.nanoTime() - sentAt) / 1_000_000;
     boolean counts =
@@ -195,8 +218,13 @@
             && (sentAt - burstEndedAt) / 1_000_000 > CONTACT_MS
             && !stopped;
     report.line(
-        "%s %s answers %s with %s after %d ms%s", instance.name, kind.service(), outcome.id(),
-        outcome, tookMs, counts ? "" : " (not counted)");
+        "%s %s answers %s with %s after %d ms%s",
+        instance.name,
+        kind.service(),
+        outcome.id(),
+        outcome,
+        tookMs,
+        counts ? "" : " (not counted)");
     if (!counts) {
       return;
     }
--- a/review/standins/review/LateCopyOfRejection.java
+++ b/review/standins/review/LateCopyOfRejection.java
@@ -10,8 +10,8 @@
 
 /**
  * Unsafe requests while the backends are full, and some backends send a second copy of an answer,
- * late. Exits with 1 if an unsafe request ran twice, or ran although its answer promised that it had
- * not run.
+ * late. Exits with 1 if an unsafe request ran twice, or ran although its answer promised that it
+ * had not run.
  */
 final class LateCopyOfRejection {
   private static final int INSTANCES = 3;
@@ -50,7 +50,7 @@
     @Override
     public void onRun(HttpMessage request, OutputStream out, BackendStandin.Channel channel)
         throws IOException {
-      String attempt = request.header("X-Bergamotcross-Attempt-Id").orElse("");
+      String attempt = request.header(Wire.ATTEMPT_ID).orElse("");
       if (attempt.equals(channel.lastAttempt) && channel.lastAnswer.length > 0 && takeCopy()) {
         report.line("backend %s first repeats its last answer to %s", backend.id(), attempt);
         out.write(channel.lastAnswer);
@@ -62,7 +62,7 @@
     public synchronized void afterAnswer(
         HttpMessage request, byte[] answer, BackendStandin.Channel channel) {
       answers++;
-      channel.lastAttempt = request.header("X-Bergamotcross-Attempt-Id").orElse("");
+      channel.lastAttempt = request.header(Wire.ATTEMPT_ID).orElse("");
       channel.lastAnswer = answer;
     }
 
@@ -101,7 +101,12 @@
       BackendStandin backend =
           scene.closeLater(
               new BackendStandin(
-                  "i-" + i, "orders-" + i % SERVICES, "zone-" + (char) ('a' + i / SERVICES % 3), WORK_MS, QUEUE_LENGTH, store,
+                  "i-" + i,
+                  "orders-" + i % SERVICES,
+                  "zone-" + (char) ('a' + i / SERVICES % 3),
+                  WORK_MS,
+                  QUEUE_LENGTH,
+                  store,
                   report));
       backends.add(backend);
       if (i < (int) (BACKENDS_OF_SERVICE * SERVICES * FAULTY_SHARE)) {
@@ -136,14 +141,10 @@
   }
 
   private static void keepOrdering(
-      Fleet.Instance instance,
-      String path,
-      Map<String, Caller.Outcome> outcomes,
-      Report report) {
+      Fleet.Instance instance, String path, Map<String, Caller.Outcome> outcomes, Report report) {
     try (Caller caller = new Caller(instance.callerPort)) {
       while (!stopped) {
-        Caller.Outcome outcome =
-            caller.send("POST", path, "key-of-shop", BUDGET_MS, 200);
+        Caller.Outcome outcome = caller.send("POST", path, "key-of-shop", BUDGET_MS, 200);
         outcomes.put(outcome.id(), outcome);
         report.line("%s answers %s with %s", instance.name, outcome.id(), outcome);
       }
--- a/review/standins/review/RejectedReaders.java
+++ b/review/standins/review/RejectedReaders.java
@@ -49,7 +49,8 @@
     Thread.sleep(SETTLE_MS);
 
     List<Fleet.Instance> all = scene.fleet().instances();
-    List<Fleet.Instance> waiting = all.stream().filter(i -> i.store.isWaiting("keyed.op")).toList();
+    List<Fleet.Instance> waiting =
+        all.stream().filter(i -> i.store.isWaiting(Wire.CONFIGURATION_TOPIC)).toList();
     // At most a third of the machines.
     List<Fleet.Instance> rejected = waiting.subList(0, Math.min(waiting.size(), INSTANCES / 3));
     Set<Fleet.Instance> served = new java.util.LinkedHashSet<>(all);
@@ -96,7 +97,10 @@
           late.incrementAndGet();
         }
         report.line(
-            "%s answers %s with %s%s", instance.name, outcome.id(), outcome,
+            "%s answers %s with %s%s",
+            instance.name,
+            outcome.id(),
+            outcome,
             isLate ? " (sent later than config_apply after version 2)" : "");
         Thread.sleep(REQUEST_INTERVAL_MS);
       }
--- a/review/standins/review/SilentConnections.java
+++ b/review/standins/review/SilentConnections.java
@@ -88,7 +88,10 @@
           late.incrementAndGet();
         }
         report.line(
-            "%s answers %s with %s%s", instance.name, outcome.id(), outcome,
+            "%s answers %s with %s%s",
+            instance.name,
+            outcome.id(),
+            outcome,
             isLate ? " (sent later than config_apply after version 4)" : "");
         Thread.sleep(REQUEST_INTERVAL_MS);
       }
--- a/review/standins/review/StoreStandin.java
+++ b/review/standins/review/StoreStandin.java
@@ -19,8 +19,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * The platform's metadata store: keyed topics with one partition each, over the calls {@code
- * log-append}, {@code log-read} and {@code log-newest}.
+ * The platform's metadata store: keyed topics with one partition each, with the calls that append
+ * records, read them, and read the newest record of each key.
  *
  * <p>Each entry instance gets an address of its own, so that the store can reject one instance and
  * serve the others.
@@ -170,12 +170,16 @@
   private Reply call(HttpMessage request, Address from) {
     Map<String, String> query = query(request.target());
     String path = request.target().split("\\?", 2)[0];
-    return switch (path) {
-      case "/v1/log-newest" -> newest(query);
-      case "/v1/log-read" -> read(query, from);
-      case "/v1/log-append" -> append(query, request.body());
-      default -> json(404, "{}");
-    };
+    if (path.equals(Wire.NEWEST)) {
+      return newest(query);
+    }
+    if (path.equals(Wire.READ)) {
+      return read(query, from);
+    }
+    if (path.equals(Wire.APPEND)) {
+      return append(query, request.body());
+    }
+    return json(404, "{}");
   }
 
   private synchronized Reply newest(Map<String, String> query) {
@@ -227,7 +231,7 @@
 
   private synchronized Reply append(Map<String, String> query, byte[] content) {
     String name = query.get("topic");
-    if (name.equals("keyed.op") || name.equals("keyed.servers")) {
+    if (name.equals(Wire.CONFIGURATION_TOPIC) || name.equals(Wire.BACKENDS_TOPIC)) {
       return json(403, "{}");
     }
     Topic topic = topic(name);
@@ -263,8 +267,13 @@
 
   private static void write(OutputStream out, Reply reply) throws IOException {
     String head =
-        "HTTP/1.1 " + reply.status() + " Status\r\nContent-Type: " + reply.contentType()
-            + "\r\nContent-Length: " + reply.body().length + "\r\n\r\n";
+        "HTTP/1.1 "
+            + reply.status()
+            + " Status\r\nContent-Type: "
+            + reply.contentType()
+            + "\r\nContent-Length: "
+            + reply.body().length
+            + "\r\n\r\n";
     byte[] headBytes = head.getBytes(StandardCharsets.ISO_8859_1);
     ByteBuffer all = ByteBuffer.allocate(headBytes.length + reply.body().length);
     out.write(all.put(headBytes).put(reply.body()).array());
