Review, case 4: readers lost with their power; a removed backend stays in use

When the first five readers of the list of targets fall silent at once, the others read 1.4 s later, take that for an outage of the store, and leave removed targets in use for 2.5 s more: 4 s after the acknowledgement instead of 2 s, and unsafe orders are lost.

It takes the place of the case on silent channels (CONFIG), whose program stays in the stand-ins' folder; the case on rejected readers is now number 5.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -2,9 +2,9 @@
 # Plays the case; needs the build of the deploy file and review/build.sh. See claim.txt.
 set -u
 cd "$(dirname "${BASH_SOURCE[0]}")/../.." || exit 2
-if [ ! -e target/entry.args ] || [ ! -e target/review/review/SilentConnections.class ]; then
+if [ ! -e target/entry.args ] || [ ! -e target/review/review/RejectedReaders.class ]; then
   echo "not built: run bin/deploy-build and review/build.sh first" >&2
   exit 2
 fi
 export RECORD=review/5/record.txt
-exec target/jdk/bin/java -cp target/review review.SilentConnections
+exec target/jdk/bin/java -cp target/review review.RejectedReaders
--- a/review/standins/review/Fleet.java
+++ b/review/standins/review/Fleet.java
@@ -114,6 +114,14 @@
     report.line("started %s as process %d", instance.name, instance.process.pid());
   }
 
+  /** Stops a process where it is; seen from outside, its machine has lost power. */
+  static void freeze(Instance instance) throws IOException, InterruptedException {
+    String pid = Long.toString(instance.process.pid());
+    if (new ProcessBuilder("kill", "-STOP", pid).inheritIO().start().waitFor() != 0) {
+      throw new IOException("could not stop " + instance.name);
+    }
+  }
+
   Path log(Instance instance) {
     return folder.resolve(instance.name + ".log");
   }
--- a/review/standins/review/LateCopyOfRejection.java
+++ b/review/standins/review/LateCopyOfRejection.java
@@ -24,7 +24,7 @@
   private static final int CALLERS_OF_SERVICE = 15;
   private static final int BUDGET_MS = 8_000;
   private static final int ROUTE_TIMEOUT_MS = 4_000;
-  private static final int MAX_ATTEMPTS = 3;
+  private static final int MAX_ATTEMPTS = 2;
   private static final int WINDOWS = 8;
   private static final long WINDOW_MS = 5_000;
   private static final long PAUSE_MS = 1_000;
