--- a/review/standins/review/Fleet.java
+++ b/review/standins/review/Fleet.java
@@ -68,6 +68,7 @@
   private final Path folder;
   private final Report report;
   private final List<Instance> instances = new ArrayList<>();
+  private boolean closed;
 
   Fleet(Path root, Path folder, Report report) {
     this.root = root;
@@ -96,7 +97,10 @@
     report.say("%d instances are ready", count);
   }
 
-  void start(Instance instance) throws IOException {
+  synchronized void start(Instance instance) throws IOException {
+    if (closed) {
+      throw new IOException("the script has ended");
+    }
     Path settings = folder.resolve(instance.name + ".ini");
     Files.writeString(settings, render(instance));
     Matcher run = RUN.matcher(Files.readString(root.resolve("deploy/system.toml")));
@@ -171,7 +175,8 @@
   }
 
   @Override
-  public void close() {
+  public synchronized void close() {
+    closed = true;
     for (Instance instance : instances) {
       if (instance.process != null) {
         instance.process.destroyForcibly();
