Let a connection carry each request id once, so that a copied rejection is no answer

Cause: a rejected request was sent again on the connection on which it had been rejected. Both attempts have the same id, by which responses are matched, so that a late copy of the first rejection counted as the answer to the second attempt. Three more ways in which an id is no proof: another request with the same id on the connection, a rejection without an id on a reused connection, and a target that names no ids.

A rejection without an id counts only as the first response on its connection, where targets name the id; elsewhere its connection is closed.

Ruled out: bytes that arrive before the request is handed over are detected already.

--- a/entry/src/main/java/org/bergamotcross/entry/http/TargetAttempt.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/TargetAttempt.java
@@ -182,16 +182,26 @@
   /**
    * Detects a late or mismatched response by the request id that the target echoes, and a response
    * that was parsed as the continuation of a late one by the status line inside a header.
+   *
+   * <p>A rejection without the id counts only as the first response on its connection, where it
+   * can't be a copy of an earlier one.
    */
   private boolean belongsToAnotherRequest(HttpResponse response, ResponseHead head) {
     if (hasStatusLineInHeader(response)) {
       return true;
     }
-    Optional<String> echoed =
-        response.getHeader(options.names().requestId()).map(header -> header.value().strip());
+    Optional<String> echoed = echoedRequestId(response);
     return echoed.isPresent()
         ? !echoed.get().equals(exchange.id())
-        : options.requestIdEchoed() && !head.notRun();
+        : options.requestIdEchoed() && (!head.notRun() || isOnReusedConnection());
+  }
+
+  private Optional<String> echoedRequestId(HttpResponse response) {
+    return response.getHeader(options.names().requestId()).map(header -> header.value().strip());
+  }
+
+  private boolean isOnReusedConnection() {
+    return connection.get().filter(TargetConnection::isReused).isPresent();
   }
 
   private static boolean hasStatusLineInHeader(HttpResponse response) {
@@ -291,8 +301,9 @@
     }
   }
 
+  /** Closes the connection of a rejection without a request id, whose copy would match any id. */
   private void discard(HttpResponse response) {
-    if (response.entity().isStrict()) {
+    if (response.entity().isStrict() && echoedRequestId(response).isPresent()) {
       releaseConnection(HopByHopHeaders.closesConnection(response));
     } else {
       closeConnection();
--- a/entry/src/main/java/org/bergamotcross/entry/http/TargetClient.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/TargetClient.java
@@ -1,6 +1,8 @@
 package org.bergamotcross.entry.http;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
@@ -74,10 +76,10 @@
             reusable -> release(reusable, idle, slots));
     HttpRequest outgoing =
         buildRequest(exchange.request(), request, target, number, attempt.requestEntity());
-    if (!sendOnIdle(idle, request.idempotent(), outgoing, attempt)) {
+    if (!sendOnIdle(idle, request.idempotent(), outgoing, exchange.id(), attempt)) {
       TargetConnection connection = new TargetConnection(target, settings, system, materializer);
       attempt.attachTo(connection);
-      sendOnNew(connection, outgoing, attempt);
+      sendOnNew(connection, outgoing, exchange.id(), attempt);
     }
     return attempt;
   }
@@ -90,8 +92,9 @@
   static void sendOnNew(
       TargetConnection connection,
       HttpRequest outgoing,
+      String requestId,
       TargetConnection.ResponseListener listener) {
-    if (!connection.send(outgoing, listener)) {
+    if (!connection.send(outgoing, requestId, listener)) {
       listener.onConnectFailed();
     }
   }
@@ -135,24 +138,50 @@
       ConcurrentLinkedDeque<TargetConnection> idle,
       boolean idempotent,
       HttpRequest outgoing,
+      String requestId,
       TargetAttempt attempt) {
     ClockReading now = time.now();
-    for (Optional<TargetConnection> next = pollNewest(idle);
+    for (Optional<TargetConnection> next = takeIdle(idle, idempotent, requestId, now);
         next.isPresent();
-        next = pollNewest(idle)) {
+        next = takeIdle(idle, idempotent, requestId, now)) {
       TargetConnection connection = next.get();
-      if (connection.isUsable()
-          && !isExpired(connection, maxIdleTime(connection, idempotent), now)) {
-        attempt.attachTo(connection);
-        if (connection.send(outgoing, attempt)) {
-          return true;
-        }
+      attempt.attachTo(connection);
+      if (connection.send(outgoing, requestId, attempt)) {
+        return true;
       }
       connection.close();
     }
     return false;
   }
 
+  /**
+   * Takes an idle connection that has not carried a request with the same id. A copy of the
+   * response to an earlier attempt could otherwise be taken for the response to this one.
+   */
+  private static Optional<TargetConnection> takeIdle(
+      ConcurrentLinkedDeque<TargetConnection> idle,
+      boolean idempotent,
+      String requestId,
+      ClockReading now) {
+    List<TargetConnection> skipped = new ArrayList<>();
+    Optional<TargetConnection> taken = Optional.empty();
+    Optional<TargetConnection> next = pollNewest(idle);
+    while (taken.isEmpty() && next.isPresent()) {
+      TargetConnection connection = next.get();
+      if (!connection.isUsable()
+          || isExpired(connection, maxIdleTime(connection, idempotent), now)) {
+        connection.close();
+      } else if (connection.mayHaveCarried(requestId)) {
+        skipped.add(connection);
+      } else {
+        taken = next;
+      }
+      next = taken.isPresent() ? Optional.empty() : pollNewest(idle);
+    }
+    skipped.reversed().forEach(idle::addFirst);
+    return taken;
+  }
+
   /** Returns the idle time limit: a fraction of the target's keep-alive time-out if it sent one. */
   private static Duration maxIdleTime(TargetConnection connection, boolean idempotent) {
     Duration defaultTime = idempotent ? MAX_IDLE_TIME : MAX_IDLE_TIME_NON_IDEMPOTENT;
--- a/entry/src/main/java/org/bergamotcross/entry/http/TargetConnection.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/TargetConnection.java
@@ -63,6 +63,9 @@
   private final AtomicReference<Optional<ResponseListener>> listener =
       new AtomicReference<>(Optional.empty());
   private final Streams streams;
+  // Used only by the thread that sends a request, which owns the connection.
+  private final CarriedRequests carriedRequests = new CarriedRequests();
+  private volatile boolean reused;
   private volatile Optional<Duration> keepAliveTimeout = Optional.empty();
   private volatile boolean headReceived;
   private volatile boolean closed;
@@ -106,13 +109,16 @@
    * Sends a request once the connection is open.
    *
    * @param request the request
+   * @param requestId the id that the target echoes in its response
    * @param responseListener receives the progress of the request
    * @return false if the connection is already closed or in use, so that no byte was sent
    */
-  boolean send(HttpRequest request, ResponseListener responseListener) {
+  boolean send(HttpRequest request, String requestId, ResponseListener responseListener) {
     if (closed || !listener.compareAndSet(Optional.empty(), Optional.of(responseListener))) {
       return false;
     }
+    reused = carriedRequests.size() > 0;
+    carriedRequests.add(requestId);
     if (isEstablished()) {
       return offer(request);
     }
@@ -171,10 +177,30 @@
   /**
    * Tells whether a request can be sent on this connection.
    *
-   * @return false after the connection ended or received bytes that belong to no request
+   * @return false after the connection ended, received bytes that belong to no request, or carried
+   *     as many requests as it may
    */
   boolean isUsable() {
-    return !closed && transport.receivedBytes() == bytesBeforeRequest;
+    return !closed && !carriedRequests.isFull() && transport.receivedBytes() == bytesBeforeRequest;
+  }
+
+  /**
+   * Tells whether a response to an earlier request may be taken for the response to this one.
+   *
+   * @param requestId the id of the request to send
+   * @return whether the connection may have carried a request with the same id
+   */
+  boolean mayHaveCarried(String requestId) {
+    return carriedRequests.mayContain(requestId);
+  }
+
+  /**
+   * Tells whether the connection carried other requests before the current one.
+   *
+   * @return false for the first request
+   */
+  boolean isReused() {
+    return reused;
   }
 
   /** Records that a part of the response has been parsed, after which more bytes may arrive. */
--- a/entry/src/test/java/org/bergamotcross/entry/http/TargetClientTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/http/TargetClientTest.java
@@ -58,7 +58,7 @@
         LockSupport.parkNanos(1_000_000);
       }
       AtomicInteger failures = new AtomicInteger();
-      TargetClient.sendOnNew(connection, HttpRequest.GET("/"), countingListener(failures));
+      TargetClient.sendOnNew(connection, HttpRequest.GET("/"), "r1", countingListener(failures));
       assertThat(failures.get()).isEqualTo(1);
     }
   }
