Take targets out of use that a complete list does not name

Cause: only the record of a removal took a target out of use. When the store deletes its history, or an instance restarts, the read returns the newest record of each target, in which a removed one doesn't occur. Peers took over the end of such a list and skipped the removals before it, even those whose records still existed; the same held for the state of a peer that started later, and for older records from a slow peer.

Change: a read returns changes or a complete list, and messages between instances say which. A complete list removes what it doesn't name, unless a later record is known; older records of unknown targets are ignored. Records that an instance had from a peer already are part of its own result.

--- a/core/src/main/java/org/bergamotcross/core/config/TargetDirectory.java
+++ b/core/src/main/java/org/bergamotcross/core/config/TargetDirectory.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.bergamotcross.kernel.ClockReading;
 
 /**
@@ -16,6 +18,9 @@
  * <p>The record with the highest offset of a target wins, so records may arrive repeatedly, in any
  * order and from any instance. A record of an earlier start, or an earlier report of the same
  * start, has no effect even if it was written late.
+ *
+ * <p>The history of the list may be deleted, and the record of a removal with it. A complete list
+ * therefore removes the targets that it does not name.
  */
 public final class TargetDirectory {
   private record KnownTarget(
@@ -30,6 +35,8 @@
   private record Usable(List<TargetEntry> entries, Optional<ClockReading> until) {}
 
   private final Map<TargetId, KnownTarget> known = new HashMap<>();
+  // A complete list up to this offset was applied; exclusive.
+  private long listedUntil;
   // Most records only show that a target is alive and leave the usable targets as they are.
   private Optional<Usable> cachedUsable = Optional.empty();
 
@@ -41,13 +48,19 @@
    *
    * @param targetRecord the record
    * @param now the current time
-   * @return whether to pass the record on to other instances; false for a mere heartbeat
+   * @return whether to pass the record on to other instances; false for a mere heartbeat and for a
+   *     superseded record
    */
   public boolean apply(TargetChange targetRecord, ClockReading now) {
     KnownTarget previous = known.get(targetRecord.id());
-    if (previous != null && previous.offset() >= targetRecord.offset()) {
+    if (previous == null && targetRecord.offset() < listedUntil) {
+      // The complete list did not name the target any more.
       return false;
     }
+    if (previous != null && previous.offset() >= targetRecord.offset()) {
+      // Another instance may not have the record, even if a peer has sent it to this one.
+      return previous.offset() == targetRecord.offset();
+    }
     boolean isChange =
         switch (targetRecord) {
           case TargetChange.Published published ->
@@ -60,6 +73,33 @@
     return isChange;
   }
 
+  /**
+   * Applies a complete list: the targets that it does not name are removed, unless a record after
+   * the end of the list is known of them.
+   *
+   * @param records the records of all targets that are in the list
+   * @param end the offset up to which the list is complete, exclusive
+   * @param gracePeriod how long a removed target may still be used
+   * @param now the current time
+   * @return the targets that were removed because the list does not name them
+   */
+  public List<TargetId> applyComplete(
+      List<TargetChange> records, long end, Duration gracePeriod, ClockReading now) {
+    Set<TargetId> named = records.stream().map(TargetChange::id).collect(Collectors.toSet());
+    List<TargetChange> removals = new ArrayList<>();
+    known.forEach(
+        (id, target) -> {
+          if (!named.contains(id) && target.usableUntil().isEmpty() && target.offset() < end) {
+            long removedAt = Math.max(target.offset() + 1, end - 1);
+            removals.add(new TargetChange.Removed(removedAt, id, gracePeriod));
+          }
+        });
+    removals.forEach(removal -> apply(removal, now));
+    records.forEach(targetRecord -> apply(targetRecord, now));
+    listedUntil = Math.max(listedUntil, end);
+    return removals.stream().map(TargetChange::id).toList();
+  }
+
   private boolean publish(TargetChange.Published targetRecord, Optional<KnownTarget> previous) {
     TargetEntry entry = targetRecord.entry();
     Optional<TargetEntry> previousEntry = previous.flatMap(KnownTarget::entry);
--- a/core/src/test/java/org/bergamotcross/core/config/TargetDirectoryTest.java
+++ b/core/src/test/java/org/bergamotcross/core/config/TargetDirectoryTest.java
@@ -88,6 +88,14 @@
       assertThat(directory.apply(entry(3, "a", 1, true, START, 3), NOW)).isTrue();
       assertThat(directory.apply(removed(4, "a", Duration.ZERO), NOW)).isTrue();
     }
+
+    // Guards against instances that miss a record because another instance, which had it from a
+    // peer already, left it out of its own result.
+    @Test
+    void recordsKnownFromAPeerArePassedOn() {
+      directory.apply(entry(1, "a", 1, false, START, 1), NOW);
+      assertThat(directory.apply(entry(1, "a", 1, false, START, 1), NOW)).isTrue();
+    }
   }
 
   @Nested
@@ -113,6 +121,56 @@
     }
   }
 
+  @Nested
+  class CompleteList {
+    // Guards against a removed target that stays in use because its removal was never read.
+    @Test
+    void removesTargetsThatItDoesNotName() {
+      directory.apply(entry(1, "a", 1, false, START, 1), NOW);
+      directory.apply(entry(2, "gone", 2, false, START, 1), NOW);
+      assertThat(
+              directory.applyComplete(
+                  List.of(entry(1, "a", 1, false, START, 1)), 4, Duration.ZERO, NOW))
+          .containsExactly(new TargetId("gone"));
+      assertThat(usable(NOW)).containsExactly("a");
+    }
+
+    // Guards against dropping a target that registered while the list was read in pages.
+    @Test
+    void keepsTargetsThatWerePublishedAfterItsEnd() {
+      directory.apply(entry(4, "later", 1, false, START, 1), NOW);
+      assertThat(directory.applyComplete(List.of(), 4, Duration.ZERO, NOW)).isEmpty();
+      assertThat(usable(NOW)).containsExactly("later");
+    }
+
+    // Guards against a target that stays unused although it has registered again.
+    @Test
+    void doesNotHideALaterRegistration() {
+      directory.apply(entry(3, "a", 1, false, START, 1), NOW);
+      directory.applyComplete(List.of(), 4, Duration.ZERO, NOW);
+      directory.apply(entry(5, "a", 1, false, START + 1, 0), NOW);
+      assertThat(usable(NOW)).containsExactly("a");
+    }
+
+    @Test
+    void leavesAGracePeriod() {
+      directory.apply(entry(1, "a", 1, false, START, 1), NOW);
+      directory.applyComplete(List.of(), 4, Duration.ofSeconds(2), NOW);
+      assertThat(usable(NOW)).containsExactly("a");
+      assertThat(usable(NOW.plus(Duration.ofSeconds(2)))).isEmpty();
+    }
+
+    // Guards against a removed target that comes back through a record sent by a slow peer.
+    @Test
+    void isNotExtendedByOlderRecords() {
+      directory.applyComplete(List.of(), 4, Duration.ZERO, NOW);
+      assertThat(directory.apply(entry(3, "gone", 1, false, START, 1), NOW)).isFalse();
+      assertThat(usable(NOW)).isEmpty();
+      assertThat(directory.apply(entry(4, "a", 1, false, START, 1), NOW)).isTrue();
+      assertThat(usable(NOW)).containsExactly("a");
+    }
+  }
+
   @Nested
   class Writers {
     // Guards against requests to a stopped target whose address another one now uses.
--- a/entry/src/main/java/org/bergamotcross/entry/CatalogSource.java
+++ b/entry/src/main/java/org/bergamotcross/entry/CatalogSource.java
@@ -97,19 +97,35 @@
   sealed interface TargetsReadResult {
 
     /**
-     * The read succeeded.
+     * The read returned the records from the requested offset on.
      *
      * @param changes the usable records
      * @param end the offset after the newest record
      */
-    record Read(List<TargetChange> changes, long end) implements TargetsReadResult {
+    record Changes(List<TargetChange> changes, long end) implements TargetsReadResult {
 
       /** Makes an unmodifiable copy of the list. */
-      public Read {
+      public Changes {
         changes = List.copyOf(changes);
       }
     }
 
+    /**
+     * The read returned the newest record of each target, because no offset was requested or the
+     * records from there on have been deleted. A target without a record here is not listed any
+     * more.
+     *
+     * @param records the usable records
+     * @param end the offset up to which the list is complete, exclusive
+     */
+    record CompleteList(List<TargetChange> records, long end) implements TargetsReadResult {
+
+      /** Makes an unmodifiable copy of the list. */
+      public CompleteList {
+        records = List.copyOf(records);
+      }
+    }
+
     /**
      * The target list can't be read at the moment.
      *
--- a/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogDuty.java
+++ b/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogDuty.java
@@ -19,6 +19,7 @@
 import org.bergamotcross.core.config.TargetChange;
 import org.bergamotcross.core.config.TargetDirectory;
 import org.bergamotcross.core.config.TargetEntry;
+import org.bergamotcross.core.config.TargetId;
 import org.bergamotcross.core.config.TeamSettings;
 import org.bergamotcross.core.membership.FleetView;
 import org.bergamotcross.core.membership.InstanceId;
@@ -234,7 +235,7 @@
         settingsReadAt = Optional.of(now);
         markSourceAvailable();
         if (read.document().filter(d -> adopt(d, "store", now)).isPresent()) {
-          broadcastUpdate(targetsEnd, targetsEnd, List.of());
+          broadcastUpdate(targetsEnd, targetsEnd, List.of(), false);
         }
         settingsEnd = Math.max(settingsEnd, read.end());
       }
@@ -291,7 +292,7 @@
   private void onTargetsRead(CatalogSource.TargetsReadResult result, ClockReading now) {
     readingTargets = false;
     switch (result) {
-      case CatalogSource.TargetsReadResult.Read read -> {
+      case CatalogSource.TargetsReadResult.Changes read -> {
         markSourceAvailable();
         recordTargetsRead(now);
         List<TargetChange> applied = new ArrayList<>();
@@ -303,8 +304,14 @@
         }
         long from = targetsEnd;
         targetsEnd = Math.max(targetsEnd, read.end());
-        targetsKnown = true;
-        broadcastUpdate(from, targetsEnd, applied);
+        broadcastUpdate(from, targetsEnd, applied, false);
+        publishIfChanged(now, "store");
+      }
+      case CatalogSource.TargetsReadResult.CompleteList list -> {
+        markSourceAvailable();
+        recordTargetsRead(now);
+        applyCompleteList(list.records(), list.end(), "store", now);
+        broadcastUpdate(0, list.end(), list.records(), true);
         publishIfChanged(now, "store");
       }
       case CatalogSource.TargetsReadResult.Unavailable unavailable -> {
@@ -328,6 +335,30 @@
     lastUpdateAt = now;
   }
 
+  /**
+   * Applies the newest records of all targets. The record of a removal may have been deleted from
+   * the store, or lie in a range that this instance has not read, so the targets that the list
+   * doesn't name are removed.
+   */
+  private void applyCompleteList(
+      List<TargetChange> records, long end, String from, ClockReading now) {
+    Duration gracePeriod =
+        now.isBefore(removalGraceUntil) ? removalGraceUntil.since(now) : Duration.ZERO;
+    List<TargetId> removed = directory.applyComplete(records, end, gracePeriod, now);
+    targetsEnd = Math.max(targetsEnd, end);
+    targetsKnown = true;
+    if (!removed.isEmpty()) {
+      events
+          .event("targets.unlisted")
+          .with("from", from)
+          .with("offset", end)
+          .with("listed", records.size())
+          .with("removed", removed.stream().map(TargetId::value).collect(Collectors.joining(",")))
+          .with("grace-ms", gracePeriod.toMillis())
+          .emit();
+    }
+  }
+
   private TargetChange withGracePeriod(TargetChange change, ClockReading now) {
     return switch (change) {
       case TargetChange.Removed removed when now.isBefore(removalGraceUntil) ->
@@ -338,21 +369,29 @@
 
   // ---- peers
 
-  private void broadcastUpdate(long from, long to, List<TargetChange> changes) {
+  private void broadcastUpdate(long from, long to, List<TargetChange> changes, boolean complete) {
     exchange.sendAll(
         CatalogMessages.UPDATE,
         new CatalogMessages.Update(
             settingsEnd,
             from,
             to,
-            changes.stream().map(CatalogMessages.TargetRecord::of).toList()));
+            changes.stream().map(CatalogMessages.TargetRecord::of).toList(),
+            complete));
   }
 
   private void onUpdate(InstanceId from, CatalogMessages.Update update, ClockReading now) {
     lastUpdateAt = now;
-    update.changes().forEach(item -> directory.apply(item.toChange(), now));
-    if (update.from() <= targetsEnd && targetsKnown) {
-      targetsEnd = Math.max(targetsEnd, update.to());
+    List<TargetChange> changes =
+        update.changes().stream().map(CatalogMessages.TargetRecord::toChange).toList();
+    if (update.complete()) {
+      applyCompleteList(changes, update.to(), from.value(), now);
+    } else {
+      changes.forEach(change -> directory.apply(change, now));
+      // A read from offset 0 returns the newest records and skips those of removals.
+      if (update.from() > 0 && update.from() <= targetsEnd && targetsKnown) {
+        targetsEnd = Math.max(targetsEnd, update.to());
+      }
     }
     boolean isMissingTargets = update.to() > targetsEnd;
     boolean isMissingSettings = document.map(d -> d.offset() + 1).orElse(0L) < update.settingsEnd();
@@ -386,9 +425,11 @@
   private void onSyncResponse(CatalogMessages.SyncResponse response, ClockReading now) {
     response.document().ifPresent(d -> adopt(d, "peer", now));
     if (response.targetsEnd() >= 0) {
-      response.targets().forEach(item -> directory.apply(item.toChange(), now));
-      targetsEnd = Math.max(targetsEnd, response.targetsEnd());
-      targetsKnown = true;
+      applyCompleteList(
+          response.targets().stream().map(CatalogMessages.TargetRecord::toChange).toList(),
+          response.targetsEnd(),
+          "peer",
+          now);
     }
     publishIfChanged(now, "peer");
   }
--- a/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogMessages.java
+++ b/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogMessages.java
@@ -24,14 +24,17 @@
    * Disseminates the result of a read.
    *
    * <p>A receiver that knows all records of the list of targets before {@code from} knows all
-   * before {@code to} after it has applied the changes.
+   * before {@code to} after it has applied the changes. A complete list needs no earlier records.
    *
    * @param settingsEnd the offset after the newest settings known to the sender
    * @param from the offset from which the sender read the list of targets
    * @param to the offset up to which the sender read, exclusive
    * @param changes the records in this range, without those that only show that a target is alive
+   * @param complete whether the changes are the newest records of all targets; false if sent by a
+   *     build that doesn't know this field
    */
-  record Update(long settingsEnd, long from, long to, List<TargetRecord> changes) {
+  record Update(
+      long settingsEnd, long from, long to, List<TargetRecord> changes, boolean complete) {
     /** Copies the list. */
     Update {
       changes = List.copyOf(changes);
--- a/entry/src/test/java/org/bergamotcross/entry/catalog/CatalogDutyTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/catalog/CatalogDutyTest.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -74,6 +75,7 @@
     final Map<InstanceId, Member> directory = new TreeMap<>();
     boolean down;
     int targetReads;
+    int firstRetained;
 
     void publish(String id, boolean draining, long sequence) {
       records.add(target(records.size(), id, draining, sequence));
@@ -82,6 +84,23 @@
     void remove(String id) {
       records.add(new TargetChange.Removed(records.size(), new TargetId(id), Duration.ZERO));
     }
+
+    /** Deletes all records but the newest of each target that was not removed. */
+    void deleteHistory() {
+      firstRetained = records.size();
+    }
+
+    CatalogSource.TargetsReadResult read(int from) {
+      if (from > 0 && from >= firstRetained) {
+        return new CatalogSource.TargetsReadResult.Changes(
+            records.subList(from, records.size()), records.size());
+      }
+      Map<TargetId, TargetChange> newest = new HashMap<>();
+      records.forEach(item -> newest.put(item.id(), item));
+      newest.values().removeIf(item -> item instanceof TargetChange.Removed);
+      return new CatalogSource.TargetsReadResult.CompleteList(
+          List.copyOf(newest.values()), records.size());
+    }
   }
 
   /** One instance's access to the store; results stay pending until the fleet delivers them. */
@@ -150,10 +169,8 @@
       if (fails()) {
         pendingResults.add(() -> read.complete(new TargetsReadResult.Unavailable("rejected")));
       } else {
-        List<TargetChange> records =
-            List.copyOf(store.records.subList((int) from, store.records.size()));
-        long end = store.records.size();
-        pendingResults.add(() -> read.complete(new TargetsReadResult.Read(records, end)));
+        TargetsReadResult result = store.read((int) from);
+        pendingResults.add(() -> read.complete(result));
       }
       return read;
     }
@@ -241,17 +258,29 @@
   /** A fleet of instances that all reach each other, with a simulated clock. */
   private static final class SimulatedFleet {
     final List<Node> nodes = new ArrayList<>();
+    final Set<Integer> unreachableInstances = new HashSet<>();
+    private final SimulatedStore store;
     private int millis = 1_000;
 
     SimulatedFleet(SimulatedStore store) {
+      this.store = store;
       for (int i = 0; i < INSTANCES; i++) {
         nodes.add(new Node(i, store, this));
       }
-      for (Node node : nodes) {
-        Set<InstanceId> others = new HashSet<>();
-        nodes.stream().filter(n -> n != node).forEach(n -> others.add(id(n.index)));
-        node.inbox.add(new CatalogInput.PeersChanged(new PeerView(others)));
-      }
+      nodes.forEach(this::connect);
+    }
+
+    private void connect(Node node) {
+      Set<InstanceId> others = new HashSet<>();
+      nodes.stream().filter(n -> n != node).forEach(n -> others.add(id(n.index)));
+      node.inbox.add(new CatalogInput.PeersChanged(new PeerView(others)));
+    }
+
+    /** Replaces an instance by one that knows nothing. */
+    void restart(int index) {
+      nodes.get(index).kernel.close();
+      nodes.set(index, new Node(index, store, this));
+      connect(nodes.get(index));
     }
 
     ClockReading now() {
@@ -267,6 +296,7 @@
         public RingOfferResult send(InstanceId to, String kind, Record message) {
           nodes.stream()
               .filter(node -> id(node.index).equals(to))
+              .filter(node -> !unreachableInstances.contains(node.index))
               .forEach(node -> node.inbox.add(input(from, message)));
           return new RingOfferResult.Accepted();
         }
@@ -275,6 +305,7 @@
         public void sendAll(String kind, Record message) {
           nodes.stream()
               .filter(node -> node.index != from)
+              .filter(node -> !unreachableInstances.contains(node.index))
               .forEach(node -> node.inbox.add(input(from, message)));
         }
 
@@ -440,6 +471,70 @@
     }
   }
 
+  @Nested
+  class CompleteLists {
+    private void publishTwoTargets() {
+      store.versions.add("v1");
+      store.publish("a", false, 1);
+      store.publish("gone", false, 1);
+      fleet.advance(2_000);
+    }
+
+    // Guards against a removed target that stays in use because the store deleted its removal
+    // before any instance read it.
+    @Test
+    void removeTargetsWhoseRemovalWasDeleted() {
+      publishTwoTargets();
+      store.remove("gone");
+      store.deleteHistory();
+      fleet.advance(1_000);
+      fleet.forEach(node -> assertThat(node.targets()).containsExactly("a"));
+    }
+
+    // Guards against a removed target that a peer which has never known it can't name.
+    @Test
+    void ofAPeerRemoveTargetsThatItHasNeverKnown() {
+      publishTwoTargets();
+      int cutOff = 3;
+      store.rejectedInstances.add(cutOff);
+      fleet.unreachableInstances.add(cutOff);
+      store.remove("gone");
+      store.deleteHistory();
+      for (int i = 0; i < INSTANCES; i++) {
+        if (i != cutOff) {
+          fleet.restart(i);
+        }
+      }
+      fleet.advance(1_000);
+      assertThat(fleet.nodes.get(cutOff).targets()).containsExactly("a", "gone");
+      fleet.unreachableInstances.clear();
+      fleet.advance(1_000);
+      fleet.forEach(node -> assertThat(node.targets()).containsExactly("a"));
+    }
+
+    // Guards against a removed target that a restarted instance learns from a peer's older records.
+    @Test
+    void areNotExtendedByOlderRecords() {
+      publishTwoTargets();
+      TargetChange older = store.records.get(1);
+      store.remove("gone");
+      store.deleteHistory();
+      fleet.restart(0);
+      fleet.advance(1_000);
+      fleet
+          .nodes
+          .getFirst()
+          .inbox
+          .add(
+              new CatalogInput.UpdateReceived(
+                  id(1),
+                  new CatalogMessages.Update(
+                      1, 1, 2, List.of(CatalogMessages.TargetRecord.of(older)), false)));
+      fleet.advance(1_000);
+      assertThat(fleet.nodes.getFirst().targets()).containsExactly("a");
+    }
+  }
+
   @Nested
   class Versions {
     // Guards against a version that goes back or is applied only in part.
