Begin a grace period for removed targets only after failed reads

Cause: 1.2 s without a read of the targets counted as an outage of the store, after which removals get 2.5 s of grace. Instances of rank five and above read only after 1.4 s, so that the loss of the first five readers began a grace period with each read. An instance that had just started and had a peer's state began one as well.

Change: a grace period begins only if a read has failed meanwhile, here or, by a report, at a peer; each instance judges for itself when it gets a result.

--- a/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogDuty.java
+++ b/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogDuty.java
@@ -62,8 +62,8 @@
   private static final Duration SETTINGS_RETRY_DELAY = Duration.ofMillis(500);
   private static final Duration DIRECTORY_RETRY_DELAY = Duration.ofSeconds(2);
 
-  /** Three read intervals of the first reader without an update. */
-  private static final Duration UPDATE_TIMEOUT = Duration.ofMillis(1_200);
+  /** Longer than the reads of targets are apart while the first reader reaches the store. */
+  private static final Duration OUTAGE_THRESHOLD = Duration.ofMillis(1_200);
 
   /** Targets whose entries expired during a store outage register again about 2 s after it. */
   private static final Duration REMOVAL_GRACE_PERIOD = Duration.ofMillis(2_500);
@@ -90,8 +90,15 @@
   private long settingsEnd;
   private long targetsEnd;
   private long revision = -1;
-  private ClockReading lastUpdateAt;
-  private ClockReading lastFailedReadAt;
+
+  /** When this instance or a peer last read the list of targets. */
+  private ClockReading lastTargetsReadAt;
+
+  private ClockReading lastFailedTargetsReadAt;
+
+  /** When a read of this instance or, by its report, of a peer last failed. */
+  private Optional<ClockReading> lastStoreFailureAt = Optional.empty();
+
   private ClockReading removalGraceUntil;
   private Optional<ClockReading> settingsReadAt;
   private Optional<ClockReading> directoryReadAt;
@@ -122,8 +129,8 @@
     this.statusListener = statusListener;
     this.readSchedule = new ReadSchedule(self.id());
     ClockReading now = context.time().now();
-    this.lastUpdateAt = now.plus(UPDATE_TIMEOUT.negated());
-    this.lastFailedReadAt = lastUpdateAt;
+    this.lastTargetsReadAt = now.plus(OUTAGE_THRESHOLD.negated());
+    this.lastFailedTargetsReadAt = lastTargetsReadAt;
     this.removalGraceUntil = now;
     this.settingsReadAt = Optional.of(now);
     this.directoryReadAt = Optional.of(now);
@@ -137,10 +144,11 @@
       case CatalogInput.DirectoryReadCompleted read -> onDirectoryRead(read.result(), now);
       case CatalogInput.RegistrationCompleted completed -> onRegistered(completed.result(), now);
       case CatalogInput.RemovalCompleted removed ->
-          onRemovalCompleted(removed.instance(), removed.result());
+          onRemovalCompleted(removed.instance(), removed.result(), now);
       case CatalogInput.FleetChanged changed -> onFleetChanged(changed.view(), now);
       case CatalogInput.PeersChanged changed -> onPeersChanged(changed.view(), now);
       case CatalogInput.UpdateReceived update -> onUpdate(update.from(), update.message(), now);
+      case CatalogInput.StoreUnavailableReceived ignored -> onStoreUnavailable(now);
       case CatalogInput.SyncRequestReceived request ->
           onSyncRequest(request.from(), request.message(), now);
       case CatalogInput.SyncResponseReceived response -> onSyncResponse(response.message(), now);
@@ -198,7 +206,10 @@
 
   private ClockReading nextTargetsReadAt() {
     return readSchedule.dueAt(
-        peers, lastUpdateAt.isAfter(lastFailedReadAt) ? lastUpdateAt : lastFailedReadAt);
+        peers,
+        lastTargetsReadAt.isAfter(lastFailedTargetsReadAt)
+            ? lastTargetsReadAt
+            : lastFailedTargetsReadAt);
   }
 
   private static boolean isDue(Optional<ClockReading> at, ClockReading now) {
@@ -213,7 +224,7 @@
    * <p>A lower-ranked instance relies on those as long as updates from peers arrive.
    */
   private void readSettings(ClockReading now) {
-    boolean receivesUpdates = now.since(lastUpdateAt).compareTo(UPDATE_TIMEOUT) < 0;
+    boolean receivesUpdates = now.since(lastTargetsReadAt).compareTo(OUTAGE_THRESHOLD) < 0;
     if (settings.isPresent()
         && readSchedule.rank(peers) >= LONG_POLLING_INSTANCES
         && receivesUpdates) {
@@ -241,7 +252,7 @@
       }
       case CatalogSource.SettingsReadResult.Unavailable unavailable -> {
         settingsReadAt = Optional.of(now.plus(SETTINGS_RETRY_DELAY));
-        markSourceUnavailable("settings", unavailable.reason());
+        markSourceUnavailable("settings", unavailable.reason(), now);
       }
     }
   }
@@ -316,23 +327,32 @@
       }
       case CatalogSource.TargetsReadResult.Unavailable unavailable -> {
         // The peers read when it is their turn; this instance retries at its next turn.
-        lastFailedReadAt = now;
-        markSourceUnavailable("targets", unavailable.reason());
+        lastFailedTargetsReadAt = now;
+        markSourceUnavailable("targets", unavailable.reason(), now);
       }
     }
   }
 
   /**
-   * Records a successful read of the list of targets.
+   * Records a successful read of the list of targets by this instance or a peer.
    *
-   * <p>If no read succeeded anywhere for {@link #UPDATE_TIMEOUT}, the store was unavailable and
-   * entries that expired meanwhile may reappear, so removals get a grace period.
+   * <p>If reads failed and none succeeded anywhere for {@link #OUTAGE_THRESHOLD}, the store was
+   * unavailable and entries that expired meanwhile may reappear, so removals get a grace period. A
+   * time without reads alone is no sign of it: the readers may have been lost.
    */
   private void recordTargetsRead(ClockReading now) {
-    if (targetsKnown && now.since(lastUpdateAt).compareTo(UPDATE_TIMEOUT) > 0) {
+    Duration interval = now.since(lastTargetsReadAt);
+    boolean failedSince =
+        lastStoreFailureAt.filter(failure -> failure.isAfter(lastTargetsReadAt)).isPresent();
+    if (targetsKnown && failedSince && interval.compareTo(OUTAGE_THRESHOLD) > 0) {
       removalGraceUntil = now.plus(REMOVAL_GRACE_PERIOD);
+      events
+          .event("removals.deferred")
+          .with("unread-ms", interval.toMillis())
+          .with("grace-ms", REMOVAL_GRACE_PERIOD.toMillis())
+          .emit();
     }
-    lastUpdateAt = now;
+    lastTargetsReadAt = now;
   }
 
   /**
@@ -359,9 +379,13 @@
     }
   }
 
+  private boolean isShorterThanGracePeriod(Duration gracePeriod, ClockReading now) {
+    return gracePeriod.compareTo(removalGraceUntil.since(now)) < 0;
+  }
+
   private TargetChange withGracePeriod(TargetChange change, ClockReading now) {
     return switch (change) {
-      case TargetChange.Removed removed when now.isBefore(removalGraceUntil) ->
+      case TargetChange.Removed removed when isShorterThanGracePeriod(removed.gracePeriod(), now) ->
           new TargetChange.Removed(removed.offset(), removed.id(), removalGraceUntil.since(now));
       default -> change;
     };
@@ -369,6 +393,10 @@
 
   // ---- peers
 
+  private void onStoreUnavailable(ClockReading now) {
+    lastStoreFailureAt = Optional.of(now);
+  }
+
   private void broadcastUpdate(long from, long to, List<TargetChange> changes, boolean complete) {
     exchange.sendAll(
         CatalogMessages.UPDATE,
@@ -381,13 +409,13 @@
   }
 
   private void onUpdate(InstanceId from, CatalogMessages.Update update, ClockReading now) {
-    lastUpdateAt = now;
+    recordTargetsRead(now);
     List<TargetChange> changes =
         update.changes().stream().map(CatalogMessages.TargetRecord::toChange).toList();
     if (update.complete()) {
       applyCompleteList(changes, update.to(), from.value(), now);
     } else {
-      changes.forEach(change -> directory.apply(change, now));
+      changes.forEach(change -> directory.apply(withGracePeriod(change, now), now));
       // A read from offset 0 returns the newest records and skips those of removals.
       if (update.from() > 0 && update.from() <= targetsEnd && targetsKnown) {
         targetsEnd = Math.max(targetsEnd, update.to());
@@ -475,7 +503,7 @@
       }
       case CatalogSource.DirectoryReadResult.Unavailable unavailable -> {
         directoryReadAt = Optional.of(now.plus(DIRECTORY_RETRY_DELAY));
-        markSourceUnavailable("instances", unavailable.reason());
+        markSourceUnavailable("instances", unavailable.reason(), now);
       }
     }
   }
@@ -509,12 +537,13 @@
           directoryReadAt = Optional.of(now);
       case CatalogSource.DirectoryUpdateResult.OutcomeUnknown unknown -> {
         registerAt = Optional.of(now.plus(DIRECTORY_RETRY_DELAY));
-        markSourceUnavailable("instances", unknown.reason());
+        markSourceUnavailable("instances", unknown.reason(), now);
       }
     }
   }
 
-  private void onRemovalCompleted(InstanceId removed, CatalogSource.DirectoryUpdateResult result) {
+  private void onRemovalCompleted(
+      InstanceId removed, CatalogSource.DirectoryUpdateResult result, ClockReading now) {
     pendingRemovals.remove(removed);
     switch (result) {
       case CatalogSource.DirectoryUpdateResult.Acknowledged ignored -> {
@@ -523,7 +552,7 @@
       }
       // The next fleet view lists the instance again, which triggers another attempt.
       case CatalogSource.DirectoryUpdateResult.OutcomeUnknown unknown ->
-          markSourceUnavailable("instances", unknown.reason());
+          markSourceUnavailable("instances", unknown.reason(), now);
     }
   }
 
@@ -618,9 +647,12 @@
         .toList();
   }
 
-  private void markSourceUnavailable(String what, String reason) {
+  private void markSourceUnavailable(String what, String reason, ClockReading now) {
+    lastStoreFailureAt = Optional.of(now);
     if (!sourceUnavailable) {
       sourceUnavailable = true;
+      exchange.sendAll(
+          CatalogMessages.STORE_UNAVAILABLE, new CatalogMessages.StoreUnavailable(what));
       events.event("store.lost").with("reading", what).with("reason", reason).emit();
     }
   }
--- a/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogInput.java
+++ b/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogInput.java
@@ -34,6 +34,9 @@
   /** A peer broadcast the result of a read. */
   record UpdateReceived(InstanceId from, CatalogMessages.Update message) implements CatalogInput {}
 
+  /** A peer reported that its reads of the store have begun to fail. */
+  record StoreUnavailableReceived() implements CatalogInput {}
+
   /** A peer requested the state that it is missing. */
   record SyncRequestReceived(InstanceId from, CatalogMessages.SyncRequest message)
       implements CatalogInput {}
--- a/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogMessages.java
+++ b/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogMessages.java
@@ -15,6 +15,7 @@
 /** Defines the messages that the catalog duties of the instances exchange. */
 final class CatalogMessages {
   static final String UPDATE = "catalog-news";
+  static final String STORE_UNAVAILABLE = "catalog-store-unavailable";
   static final String SYNC_REQUEST = "catalog-ask";
   static final String SYNC_RESPONSE = "catalog-state";
 
@@ -41,6 +42,13 @@
     }
   }
 
+  /**
+   * Reports that the sender's reads of the store have begun to fail.
+   *
+   * @param reading what the sender tried to read first: settings, targets or instances
+   */
+  record StoreUnavailable(String reading) {}
+
   /**
    * Requests everything that the receiver knows beyond the sender's offsets.
    *
--- a/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogPlugin.java
+++ b/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogPlugin.java
@@ -72,6 +72,10 @@
         CatalogMessages.UPDATE,
         CatalogMessages.Update.class,
         (from, message) -> ring.offer(new CatalogInput.UpdateReceived(from.id(), message)));
+    exchange.handle(
+        CatalogMessages.STORE_UNAVAILABLE,
+        CatalogMessages.StoreUnavailable.class,
+        (from, message) -> ring.offer(new CatalogInput.StoreUnavailableReceived()));
     exchange.handle(
         CatalogMessages.SYNC_REQUEST,
         CatalogMessages.SyncRequest.class,
--- a/entry/src/test/java/org/bergamotcross/entry/catalog/CatalogDutyTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/catalog/CatalogDutyTest.java
@@ -29,6 +29,7 @@
 import org.bergamotcross.core.membership.InstanceId;
 import org.bergamotcross.core.membership.Member;
 import org.bergamotcross.core.membership.PeerView;
+import org.bergamotcross.core.membership.ReadSchedule;
 import org.bergamotcross.entry.Broadcasts;
 import org.bergamotcross.entry.CatalogSource;
 import org.bergamotcross.entry.PeerExchange;
@@ -259,6 +260,7 @@
   private static final class SimulatedFleet {
     final List<Node> nodes = new ArrayList<>();
     final Set<Integer> unreachableInstances = new HashSet<>();
+    final Set<Integer> stoppedInstances = new HashSet<>();
     private final SimulatedStore store;
     private int millis = 1_000;
 
@@ -319,6 +321,8 @@
     private static CatalogInput input(int from, Record message) {
       return switch (message) {
         case CatalogMessages.Update update -> new CatalogInput.UpdateReceived(id(from), update);
+        case CatalogMessages.StoreUnavailable ignored ->
+            new CatalogInput.StoreUnavailableReceived();
         case CatalogMessages.SyncRequest request ->
             new CatalogInput.SyncRequestReceived(id(from), request);
         case CatalogMessages.SyncResponse response ->
@@ -330,6 +334,9 @@
     void advance(int forMs) {
       for (int end = millis + forMs; millis < end; millis += STEP_MS) {
         for (Node node : nodes) {
+          if (stoppedInstances.contains(node.index)) {
+            continue;
+          }
           node.source.poll();
           List.copyOf(node.source.pendingResults).forEach(Runnable::run);
           node.source.pendingResults.clear();
@@ -343,6 +350,23 @@
       }
     }
 
+    /** Returns the indexes of all instances but the one that reads the store last. */
+    Set<Integer> allButLastReader() {
+      Set<Integer> first = new HashSet<>();
+      for (Node node : nodes) {
+        if (rank(node) < INSTANCES - 1) {
+          first.add(node.index);
+        }
+      }
+      return first;
+    }
+
+    private int rank(Node node) {
+      Set<InstanceId> others = new HashSet<>();
+      nodes.stream().filter(n -> n != node).forEach(n -> others.add(id(n.index)));
+      return new ReadSchedule(id(node.index)).rank(new PeerView(others));
+    }
+
     void forEach(Consumer<Node> check) {
       nodes.forEach(check);
     }
@@ -458,6 +482,37 @@
       fleet.forEach(node -> assertThat(node.targets()).containsExactly("a"));
     }
 
+    // Guards against the loss of a live target by an instance that reads for the first time after
+    // an outage, so that only its peers have noticed it.
+    @Test
+    void isNoticedByTheReportOfAPeer() {
+      store.versions.add("v1");
+      store.publish("a", false, 1);
+      store.publish("b", false, 1);
+      fleet.advance(2_000);
+      store.rejectedInstances.addAll(fleet.allButLastReader());
+      fleet.advance(900);
+      store.remove("a");
+      fleet.advance(600);
+      fleet.forEach(node -> assertThat(node.targets()).containsExactly("a", "b"));
+    }
+
+    // Guards against a removed target that stays in use for 4 s, because the loss of the instances
+    // that read the store counts as an outage of the store.
+    @Test
+    void isNotInferredFromTheLossOfTheReaders() {
+      store.versions.add("v1");
+      store.publish("a", false, 1);
+      store.publish("gone", false, 1);
+      fleet.advance(2_000);
+      fleet.stoppedInstances.addAll(fleet.allButLastReader());
+      store.remove("gone");
+      fleet.advance(1_900);
+      fleet.nodes.stream()
+          .filter(node -> !fleet.stoppedInstances.contains(node.index))
+          .forEach(node -> assertThat(node.targets()).containsExactly("a"));
+    }
+
     // Guards against a grace period without an outage, when a missing target has left.
     @Test
     void givesNoGracePeriodWithoutOne() {
@@ -491,6 +546,21 @@
       fleet.forEach(node -> assertThat(node.targets()).containsExactly("a"));
     }
 
+    // Guards against instances that skip a removal because an instance that has restarted read a
+    // later state of the list.
+    @Test
+    void ofARestartedInstanceRemoveTargetsAtItsPeers() {
+      publishTwoTargets();
+      for (int i = 0; i < INSTANCES; i++) {
+        store.publish("gone", false, 2);
+        fleet.advance(1_000);
+        store.remove("gone");
+        fleet.restart(i);
+        fleet.advance(1_000);
+        fleet.forEach(node -> assertThat(node.targets()).containsExactly("a"));
+      }
+    }
+
     // Guards against a removed target that a peer which has never known it can't name.
     @Test
     void ofAPeerRemoveTargetsThatItHasNeverKnown() {
@@ -505,7 +575,7 @@
           fleet.restart(i);
         }
       }
-      fleet.advance(1_000);
+      fleet.advance(700);
       assertThat(fleet.nodes.get(cutOff).targets()).containsExactly("a", "gone");
       fleet.unreachableInstances.clear();
       fleet.advance(1_000);
@@ -533,6 +603,24 @@
       fleet.advance(1_000);
       assertThat(fleet.nodes.getFirst().targets()).containsExactly("a");
     }
+
+    // Guards against empty pools after an outage in which the entries of live targets expired and
+    // an instance was restarted.
+    @Test
+    void afterAnOutageLeaveTargetsTheirGracePeriod() {
+      publishTwoTargets();
+      store.down = true;
+      fleet.advance(4_000);
+      store.remove("a");
+      store.deleteHistory();
+      store.down = false;
+      fleet.restart(0);
+      fleet.advance(1_500);
+      assertThat(fleet.nodes.get(1).targets()).containsExactly("a", "gone");
+      store.publish("a", false, 2);
+      fleet.advance(3_000);
+      fleet.forEach(node -> assertThat(node.targets()).containsExactly("a", "gone"));
+    }
   }
 
   @Nested
