Give settings and targets an age of their own, and let results decide who polls

Cause: only the three instances ranked first polled for settings; the others took each read of the list of targets for news of the settings, so that nobody noticed that the settings were not read.

Change: each long poll is reported to the peers, also one without a change. One instance polls, for 800 ms at a time; the others begin within 1.4 s when no result arrives from one ranked before them, and go on until one of those succeeds. An instance asks for the settings after those that it has in force.

The price is 1.25 long polls a second for the fleet instead of 0.375.

--- a/core/src/main/java/org/bergamotcross/core/membership/ReadSchedule.java
+++ b/core/src/main/java/org/bergamotcross/core/membership/ReadSchedule.java
@@ -25,6 +25,15 @@
    */
   static final int MAX_DELAYED_RANK = 5;
 
+  /** The time limit of a long poll, and thus the interval of results without a change. */
+  public static final Duration LONG_POLL_TIMEOUT = Duration.ofMillis(800);
+
+  /** Allows for the time that a result takes to the peers before one of them takes over. */
+  private static final Duration LONG_POLL_MARGIN = Duration.ofMillis(100);
+
+  /** The delay for each preceding rank until an instance begins a long poll by itself. */
+  private static final Duration LONG_POLL_RANK_DELAY = Duration.ofMillis(100);
+
   private static final String RANKING_KEY = "reading-turn";
 
   private final InstanceId self;
@@ -45,11 +54,7 @@
    * @return the rank, 0 for the first reader
    */
   public int rank(PeerView peers) {
-    long own = Members.rendezvousWeight(RANKING_KEY, self);
-    return (int)
-        peers.reachable().stream()
-            .filter(peer -> Members.rendezvousWeight(RANKING_KEY, peer) > own)
-            .count();
+    return (int) peers.reachable().stream().filter(this::isPreceding).count();
   }
 
   /**
@@ -60,7 +65,44 @@
    * @return the time of the next read
    */
   public ClockReading dueAt(PeerView peers, ClockReading lastReadAt) {
-    int steps = Math.min(rank(peers), MAX_DELAYED_RANK);
-    return lastReadAt.plus(READ_INTERVAL).plus(RANK_DELAY.multipliedBy(steps));
+    return lastReadAt.plus(READ_INTERVAL).plus(RANK_DELAY.multipliedBy(delayedRank(peers)));
+  }
+
+  /**
+   * Returns when this instance has to begin a long poll.
+   *
+   * <p>The first-ranked instance polls all the time. Any other one begins when it has received no
+   * result for the time limit of a poll plus one delay for each instance ranked before it, and goes
+   * on until one of those succeeds. The results of instances ranked after it don't count, so that
+   * of two that took over only the first goes on.
+   *
+   * @param peers the reachable peers
+   * @param lastPrecedingResultAt when this instance last received a result from an instance that is
+   *     ranked before it
+   * @return the time of the next poll
+   */
+  public ClockReading longPollDueAt(PeerView peers, ClockReading lastPrecedingResultAt) {
+    int steps = delayedRank(peers);
+    return steps == 0
+        ? lastPrecedingResultAt
+        : lastPrecedingResultAt
+            .plus(LONG_POLL_TIMEOUT)
+            .plus(LONG_POLL_MARGIN)
+            .plus(LONG_POLL_RANK_DELAY.multipliedBy(steps));
+  }
+
+  /**
+   * Tells whether an instance is ranked before this one.
+   *
+   * @param other the other instance
+   * @return whether it reads before this one
+   */
+  public boolean isPreceding(InstanceId other) {
+    return Members.rendezvousWeight(RANKING_KEY, other)
+        > Members.rendezvousWeight(RANKING_KEY, self);
+  }
+
+  private int delayedRank(PeerView peers) {
+    return Math.min(rank(peers), MAX_DELAYED_RANK);
   }
 }
--- a/core/src/test/java/org/bergamotcross/core/membership/ReadScheduleTest.java
+++ b/core/src/test/java/org/bergamotcross/core/membership/ReadScheduleTest.java
@@ -84,5 +84,30 @@
       }
       assertThat(reads).isNotEmpty();
     }
+
+    // Guards against new settings that stay unknown for 2 s, whichever instances get no results.
+    @Test
+    void ofLongPollsAreReplacedBeforeNewSettingsMustBeKnown() {
+      ClockReading lastResultAt = ClockReading.ofMillis(10_000);
+      for (int i = 0; i < INSTANCES; i++) {
+        ClockReading due = new ReadSchedule(id(i)).longPollDueAt(peersOf(i), lastResultAt);
+        assertThat(due.since(lastResultAt)).isAtMost(Duration.ofMillis(1_500));
+      }
+    }
+
+    // Guards against several instances that poll beside a first reader that succeeds.
+    @Test
+    void ofLongPollsAreNotReplacedWhileResultsArrive() {
+      ClockReading lastResultAt = ClockReading.ofMillis(10_000);
+      ClockReading nextResultAt = lastResultAt.plus(ReadSchedule.LONG_POLL_TIMEOUT);
+      for (int i = 0; i < INSTANCES; i++) {
+        ClockReading due = new ReadSchedule(id(i)).longPollDueAt(peersOf(i), lastResultAt);
+        if (rank(i) == 0) {
+          assertThat(due).isEqualTo(lastResultAt);
+        } else {
+          assertThat(due.isAfter(nextResultAt)).isTrue();
+        }
+      }
+    }
   }
 }
--- a/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogDuty.java
+++ b/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogDuty.java
@@ -39,10 +39,11 @@
 /**
  * Follows the published settings and the list of targets, and disseminates both to the peers.
  *
- * <p>A few instances long-poll for new settings, and one at a time reads the list of targets. An
- * instance that reads a change broadcasts it to its peers; an instance that detects a gap requests
- * the missing state from the peer that has it. This keeps instances up to date even while the store
- * rejects their own reads.
+ * <p>One instance at a time long-polls for new settings, and one reads the list of targets. Each
+ * broadcasts the results to its peers, also those without a change: an instance that receives no
+ * results of a kind reads by itself. An instance that detects a gap requests the missing state from
+ * the peer that has it. This keeps instances up to date even while the store rejects their own
+ * reads.
  */
 final class CatalogDuty implements DutyHandler<CatalogInput> {
   /** The team name of the published settings in {@link Configuration#teams}. */
@@ -51,14 +52,6 @@
   /** Ejection needs no floor here: the routing duty's estimates only rank targets. */
   private static final double NO_EJECTION_FLOOR = 0;
 
-  /**
-   * Several instances long-poll, so that settings still arrive if the store rejects one of them.
-   */
-  private static final int LONG_POLLING_INSTANCES = 3;
-
-  /** Bounds the delay caused by a dead connection; peers disseminate new settings meanwhile. */
-  private static final Duration SETTINGS_LONG_POLL_TIMEOUT = Duration.ofSeconds(8);
-
   private static final Duration SETTINGS_RETRY_DELAY = Duration.ofMillis(500);
   private static final Duration DIRECTORY_RETRY_DELAY = Duration.ofSeconds(2);
 
@@ -71,6 +64,9 @@
   /** Delays sync requests, since this instance's own read may be about to return the same data. */
   private static final Duration SYNC_REQUEST_DELAY = Duration.ofMillis(150);
 
+  /** Makes the first reads of an instance due at once or, for the last ranks, within 0.2 s. */
+  private static final Duration STALE_AT_START = Duration.ofMillis(1_200);
+
   private static final Duration UNLIMITED_VALIDITY = Duration.ofDays(365);
   private static final Duration MAX_TICK_INTERVAL = Duration.ofSeconds(1);
 
@@ -100,7 +96,13 @@
   private Optional<ClockReading> lastStoreFailureAt = Optional.empty();
 
   private ClockReading removalGraceUntil;
-  private Optional<ClockReading> settingsReadAt;
+
+  /** When an instance ranked before this one last read the settings. */
+  private ClockReading lastPrecedingSettingsReadAt;
+
+  /** Delays the next read of the settings after a failed one. */
+  private ClockReading settingsRetryAt;
+
   private Optional<ClockReading> directoryReadAt;
   private Optional<ClockReading> registerAt = Optional.empty();
   private final Set<InstanceId> pendingRemovals = new HashSet<>();
@@ -129,10 +131,11 @@
     this.statusListener = statusListener;
     this.readSchedule = new ReadSchedule(self.id());
     ClockReading now = context.time().now();
-    this.lastTargetsReadAt = now.plus(OUTAGE_THRESHOLD.negated());
+    this.lastTargetsReadAt = now.plus(STALE_AT_START.negated());
     this.lastFailedTargetsReadAt = lastTargetsReadAt;
     this.removalGraceUntil = now;
-    this.settingsReadAt = Optional.of(now);
+    this.lastPrecedingSettingsReadAt = now.plus(STALE_AT_START.negated());
+    this.settingsRetryAt = now;
     this.directoryReadAt = Optional.of(now);
   }
 
@@ -148,6 +151,8 @@
       case CatalogInput.FleetChanged changed -> onFleetChanged(changed.view(), now);
       case CatalogInput.PeersChanged changed -> onPeersChanged(changed.view(), now);
       case CatalogInput.UpdateReceived update -> onUpdate(update.from(), update.message(), now);
+      case CatalogInput.SettingsReadReceived read ->
+          onPeerReadSettings(read.from(), read.message(), now);
       case CatalogInput.StoreUnavailableReceived ignored -> onStoreUnavailable(now);
       case CatalogInput.SyncRequestReceived request ->
           onSyncRequest(request.from(), request.message(), now);
@@ -169,9 +174,11 @@
           .register(self)
           .thenAccept(r -> completions.accept(new CatalogInput.RegistrationCompleted(r)));
     }
-    if (isDue(settingsReadAt, now)) {
-      settingsReadAt = Optional.empty();
-      readSettings(now);
+    if (!readingSettings && !now.isBefore(nextSettingsReadAt())) {
+      readingSettings = true;
+      source
+          .readSettings(settingsEnd, ReadSchedule.LONG_POLL_TIMEOUT)
+          .thenAccept(r -> completions.accept(new CatalogInput.SettingsReadCompleted(r)));
     }
     if (!readingTargets && !now.isBefore(nextTargetsReadAt())) {
       readingTargets = true;
@@ -186,15 +193,15 @@
               exchange.send(
                   peer,
                   CatalogMessages.SYNC_REQUEST,
-                  new CatalogMessages.SyncRequest(settingsEnd, targetsEnd)));
+                  new CatalogMessages.SyncRequest(knownSettingsEnd(), targetsEnd)));
     }
     publishIfChanged(now, "time");
     return Stream.of(
             directoryReadAt,
             registerAt,
-            settingsReadAt,
             syncRequestAt,
             directory.nextExpiry(now),
+            readingSettings ? Optional.<ClockReading>empty() : Optional.of(nextSettingsReadAt()),
             readingTargets ? Optional.<ClockReading>empty() : Optional.of(nextTargetsReadAt()))
         .flatMap(Optional::stream)
         .min(Comparator.naturalOrder())
@@ -218,40 +225,24 @@
 
   // ---- settings
 
-  /**
-   * Starts a long poll for settings, unless one is running or higher-ranked instances do it.
-   *
-   * <p>A lower-ranked instance relies on those as long as updates from peers arrive.
-   */
-  private void readSettings(ClockReading now) {
-    boolean receivesUpdates = now.since(lastTargetsReadAt).compareTo(OUTAGE_THRESHOLD) < 0;
-    if (settings.isPresent()
-        && readSchedule.rank(peers) >= LONG_POLLING_INSTANCES
-        && receivesUpdates) {
-      settingsReadAt = Optional.of(now.plus(SETTINGS_RETRY_DELAY));
-      return;
-    }
-    if (!readingSettings) {
-      readingSettings = true;
-      source
-          .readSettings(settingsEnd, SETTINGS_LONG_POLL_TIMEOUT)
-          .thenAccept(r -> completions.accept(new CatalogInput.SettingsReadCompleted(r)));
-    }
+  private ClockReading nextSettingsReadAt() {
+    ClockReading due = readSchedule.longPollDueAt(peers, lastPrecedingSettingsReadAt);
+    return due.isAfter(settingsRetryAt) ? due : settingsRetryAt;
   }
 
   private void onSettingsRead(CatalogSource.SettingsReadResult result, ClockReading now) {
     readingSettings = false;
     switch (result) {
       case CatalogSource.SettingsReadResult.Read read -> {
-        settingsReadAt = Optional.of(now);
+        settingsRetryAt = now;
         markSourceAvailable();
-        if (read.document().filter(d -> adopt(d, "store", now)).isPresent()) {
-          broadcastUpdate(targetsEnd, targetsEnd, List.of(), false);
-        }
+        read.document().ifPresent(d -> adopt(d, "store", now));
         settingsEnd = Math.max(settingsEnd, read.end());
+        exchange.sendAll(
+            CatalogMessages.SETTINGS_READ, new CatalogMessages.SettingsRead(knownSettingsEnd()));
       }
       case CatalogSource.SettingsReadResult.Unavailable unavailable -> {
-        settingsReadAt = Optional.of(now.plus(SETTINGS_RETRY_DELAY));
+        settingsRetryAt = now.plus(SETTINGS_RETRY_DELAY);
         markSourceUnavailable("settings", unavailable.reason(), now);
       }
     }
@@ -401,7 +392,7 @@
     exchange.sendAll(
         CatalogMessages.UPDATE,
         new CatalogMessages.Update(
-            settingsEnd,
+            knownSettingsEnd(),
             from,
             to,
             changes.stream().map(CatalogMessages.TargetRecord::of).toList(),
@@ -421,15 +412,34 @@
         targetsEnd = Math.max(targetsEnd, update.to());
       }
     }
-    boolean isMissingTargets = update.to() > targetsEnd;
-    boolean isMissingSettings = document.map(d -> d.offset() + 1).orElse(0L) < update.settingsEnd();
-    if ((isMissingTargets || isMissingSettings) && syncRequestAt.isEmpty()) {
-      syncRequestAt = Optional.of(now.plus(SYNC_REQUEST_DELAY));
-      syncPeer = Optional.of(from);
+    if (update.to() > targetsEnd || update.settingsEnd() > knownSettingsEnd()) {
+      requestSync(from, now);
     }
     publishIfChanged(now, from.value());
   }
 
+  private void onPeerReadSettings(
+      InstanceId from, CatalogMessages.SettingsRead message, ClockReading now) {
+    if (readSchedule.isPreceding(from)) {
+      lastPrecedingSettingsReadAt = now;
+    }
+    if (message.settingsEnd() > knownSettingsEnd()) {
+      requestSync(from, now);
+    }
+  }
+
+  private void requestSync(InstanceId peer, ClockReading now) {
+    if (syncRequestAt.isEmpty()) {
+      syncRequestAt = Optional.of(now.plus(SYNC_REQUEST_DELAY));
+      syncPeer = Optional.of(peer);
+    }
+  }
+
+  /** Returns the offset after the settings in force, 0 if there are none. */
+  private long knownSettingsEnd() {
+    return document.map(d -> d.offset() + 1).orElse(0L);
+  }
+
   private void onSyncRequest(
       InstanceId from, CatalogMessages.SyncRequest request, ClockReading now) {
     Optional<CatalogSource.SettingsDocument> missingSettings =
--- a/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogInput.java
+++ b/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogInput.java
@@ -34,6 +34,10 @@
   /** A peer broadcast the result of a read. */
   record UpdateReceived(InstanceId from, CatalogMessages.Update message) implements CatalogInput {}
 
+  /** A peer has read the settings, or has waited in vain for new ones. */
+  record SettingsReadReceived(InstanceId from, CatalogMessages.SettingsRead message)
+      implements CatalogInput {}
+
   /** A peer reported that its reads of the store have begun to fail. */
   record StoreUnavailableReceived() implements CatalogInput {}
 
--- a/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogMessages.java
+++ b/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogMessages.java
@@ -15,6 +15,7 @@
 /** Defines the messages that the catalog duties of the instances exchange. */
 final class CatalogMessages {
   static final String UPDATE = "catalog-news";
+  static final String SETTINGS_READ = "catalog-settings-read";
   static final String STORE_UNAVAILABLE = "catalog-store-unavailable";
   static final String SYNC_REQUEST = "catalog-ask";
   static final String SYNC_RESPONSE = "catalog-state";
@@ -27,7 +28,7 @@
    * <p>A receiver that knows all records of the list of targets before {@code from} knows all
    * before {@code to} after it has applied the changes. A complete list needs no earlier records.
    *
-   * @param settingsEnd the offset after the newest settings known to the sender
+   * @param settingsEnd the offset after the settings in force at the sender, 0 if it has none
    * @param from the offset from which the sender read the list of targets
    * @param to the offset up to which the sender read, exclusive
    * @param changes the records in this range, without those that only show that a target is alive
@@ -42,6 +43,13 @@
     }
   }
 
+  /**
+   * Reports that the sender has read the settings, also when there were no new ones.
+   *
+   * @param settingsEnd the offset after the settings in force at the sender, 0 if it has none
+   */
+  record SettingsRead(long settingsEnd) {}
+
   /**
    * Reports that the sender's reads of the store have begun to fail.
    *
@@ -52,7 +60,7 @@
   /**
    * Requests everything that the receiver knows beyond the sender's offsets.
    *
-   * @param settingsEnd the offset after the newest settings known to the sender
+   * @param settingsEnd the offset after the settings in force at the sender, 0 if it has none
    * @param targetsEnd the offset up to which the sender knows the list of targets, exclusive
    */
   record SyncRequest(long settingsEnd, long targetsEnd) {}
--- a/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogPlugin.java
+++ b/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogPlugin.java
@@ -72,6 +72,10 @@
         CatalogMessages.UPDATE,
         CatalogMessages.Update.class,
         (from, message) -> ring.offer(new CatalogInput.UpdateReceived(from.id(), message)));
+    exchange.handle(
+        CatalogMessages.SETTINGS_READ,
+        CatalogMessages.SettingsRead.class,
+        (from, message) -> ring.offer(new CatalogInput.SettingsReadReceived(from.id(), message)));
     exchange.handle(
         CatalogMessages.STORE_UNAVAILABLE,
         CatalogMessages.StoreUnavailable.class,
--- a/entry/src/test/java/org/bergamotcross/entry/catalog/CatalogDutyTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/catalog/CatalogDutyTest.java
@@ -73,9 +73,11 @@
     final List<TargetChange> records = new ArrayList<>();
     final List<String> versions = new ArrayList<>();
     final Set<Integer> rejectedInstances = new HashSet<>();
+    final Set<Integer> unansweredInstances = new HashSet<>();
     final Map<InstanceId, Member> directory = new TreeMap<>();
     boolean down;
     int targetReads;
+    int settingsReads;
     int firstRetained;
 
     void publish(String id, boolean draining, long sequence) {
@@ -107,6 +109,8 @@
   /** One instance's access to the store; results stay pending until the fleet delivers them. */
   private static final class FailingCatalogSource implements CatalogSource {
     private final SimulatedStore store;
+    private static final int RESPONSE_TIMEOUT_MS = 1_500;
+
     private final int index;
     final List<Runnable> pendingResults = new ArrayList<>();
     private final List<Runnable> longPolls = new ArrayList<>();
@@ -122,14 +126,22 @@
 
     @Override
     public CompletionStage<SettingsReadResult> readSettings(long from, Duration wait) {
+      store.settingsReads++;
       CompletableFuture<SettingsReadResult> read = new CompletableFuture<>();
-      longPolls.add(() -> completeSettings(read, from));
+      longPolls.add(() -> completeSettings(read, from, (int) wait.toMillis()));
       return read;
     }
 
-    private void completeSettings(CompletableFuture<SettingsReadResult> read, long from) {
-      if (fails()) {
+    private void completeSettings(
+        CompletableFuture<SettingsReadResult> read, long from, int waitMs) {
+      if (isUnanswered()) {
+        longPolls.add(
+            () -> failAfter(read, new SettingsReadResult.Unavailable("no response"), waitMs));
+      } else if (fails()) {
         pendingResults.add(() -> read.complete(new SettingsReadResult.Unavailable("rejected")));
+      } else if (waitMs <= 0) {
+        pendingResults.add(
+            () -> read.complete(new SettingsReadResult.Read(Optional.empty(), from)));
       } else if (store.versions.size() > from) {
         int newest = store.versions.size() - 1;
         byte[] content = store.versions.get(newest).getBytes(StandardCharsets.UTF_8);
@@ -139,10 +151,23 @@
                     new SettingsReadResult.Read(
                         Optional.of(new SettingsDocument(newest, content)), newest + 1)));
       } else {
-        longPolls.add(() -> completeSettings(read, from));
+        longPolls.add(() -> completeSettings(read, from, waitMs - STEP_MS));
       }
     }
 
+    /** Completes a read that gets no response when it times out. */
+    private <T> void failAfter(CompletableFuture<T> read, T failure, int waitMs) {
+      if (waitMs + RESPONSE_TIMEOUT_MS <= 0) {
+        pendingResults.add(() -> read.complete(failure));
+      } else {
+        longPolls.add(() -> failAfter(read, failure, waitMs - STEP_MS));
+      }
+    }
+
+    private boolean isUnanswered() {
+      return store.unansweredInstances.contains(index);
+    }
+
     void poll() {
       List<Runnable> due = List.copyOf(longPolls);
       longPolls.clear();
@@ -167,7 +192,9 @@
     public CompletionStage<TargetsReadResult> readTargets(long from) {
       store.targetReads++;
       CompletableFuture<TargetsReadResult> read = new CompletableFuture<>();
-      if (fails()) {
+      if (isUnanswered()) {
+        failAfter(read, new TargetsReadResult.Unavailable("no response"), 0);
+      } else if (fails()) {
         pendingResults.add(() -> read.complete(new TargetsReadResult.Unavailable("rejected")));
       } else {
         TargetsReadResult result = store.read((int) from);
@@ -221,6 +248,7 @@
     final List<Broadcasts.InstanceDirectory> directory = new ArrayList<>();
     final List<InstanceId> departed = new ArrayList<>();
     boolean isFresh;
+    long version;
     ClockReading nextTick;
 
     Node(int index, SimulatedStore store, SimulatedFleet fleet) {
@@ -241,7 +269,7 @@
               fleet.exchange(index),
               kernel.context(),
               inbox::add,
-              status -> {});
+              status -> version = status.version());
     }
 
     List<String> targets() {
@@ -321,6 +349,8 @@
     private static CatalogInput input(int from, Record message) {
       return switch (message) {
         case CatalogMessages.Update update -> new CatalogInput.UpdateReceived(id(from), update);
+        case CatalogMessages.SettingsRead read ->
+            new CatalogInput.SettingsReadReceived(id(from), read);
         case CatalogMessages.StoreUnavailable ignored ->
             new CatalogInput.StoreUnavailableReceived();
         case CatalogMessages.SyncRequest request ->
@@ -350,11 +380,11 @@
       }
     }
 
-    /** Returns the indexes of all instances but the one that reads the store last. */
-    Set<Integer> allButLastReader() {
+    /** Returns the indexes of the instances that read the store before all others. */
+    Set<Integer> firstReaders(int count) {
       Set<Integer> first = new HashSet<>();
       for (Node node : nodes) {
-        if (rank(node) < INSTANCES - 1) {
+        if (rank(node) < count) {
           first.add(node.index);
         }
       }
@@ -397,6 +427,17 @@
       assertThat(store.targetReads - before).isAtMost(30);
     }
 
+    // Guards against a load of long polls that grows with the number of instances.
+    @Test
+    void isPolledForSettingsByOneInstanceAtATime() {
+      store.versions.add("v1");
+      store.publish("a", false, 1);
+      fleet.advance(2_000);
+      int before = store.settingsReads;
+      fleet.advance(10_000);
+      assertThat(store.settingsReads - before).isAtMost(13);
+    }
+
     // Guards against routing work to a draining target for more than 2 s.
     @Test
     void disseminatesADrainingTargetInTime() {
@@ -438,6 +479,50 @@
       }
     }
 
+    // Guards against withdrawn keys that go on working for more than 2 s, because the store rejects
+    // the instances that read the settings and the others rely on them.
+    @Test
+    void getsNewSettingsWhicheverReadersAreRejected() {
+      checkSettingsArrive(store.rejectedInstances);
+    }
+
+    // Guards against the same while reads are neither rejected nor answered.
+    @Test
+    void getsNewSettingsWhicheverReadersAreNotAnswered() {
+      checkSettingsArrive(store.unansweredInstances);
+    }
+
+    private void checkSettingsArrive(Set<Integer> failing) {
+      store.versions.add("v1");
+      store.publish("a", false, 1);
+      fleet.advance(2_000);
+      for (int count = 1; count < INSTANCES; count++) {
+        failing.addAll(fleet.firstReaders(count));
+        for (int i = 0; i < 5; i++) {
+          fleet.advance(i * 290);
+          store.versions.add("v" + (store.versions.size() + 1));
+          fleet.advance(1_900);
+          fleet.forEach(node -> assertThat(node.version).isEqualTo(store.versions.size()));
+        }
+        failing.clear();
+        fleet.advance(3_000);
+      }
+    }
+
+    // Guards against a new poll of every instance that took over, after the first readers are back.
+    @Test
+    void leavesLongPollsToTheFirstReaderAfterwards() {
+      store.versions.add("v1");
+      store.publish("a", false, 1);
+      store.rejectedInstances.addAll(fleet.firstReaders(3));
+      fleet.advance(4_000);
+      store.rejectedInstances.clear();
+      fleet.advance(3_000);
+      int before = store.settingsReads;
+      fleet.advance(10_000);
+      assertThat(store.settingsReads - before).isAtMost(13);
+    }
+
     // Guards against an instance without any configuration because the store has rejected its reads
     // since it started.
     @Test
@@ -490,7 +575,7 @@
       store.publish("a", false, 1);
       store.publish("b", false, 1);
       fleet.advance(2_000);
-      store.rejectedInstances.addAll(fleet.allButLastReader());
+      store.rejectedInstances.addAll(fleet.firstReaders(INSTANCES - 1));
       fleet.advance(900);
       store.remove("a");
       fleet.advance(600);
@@ -505,7 +590,7 @@
       store.publish("a", false, 1);
       store.publish("gone", false, 1);
       fleet.advance(2_000);
-      fleet.stoppedInstances.addAll(fleet.allButLastReader());
+      fleet.stoppedInstances.addAll(fleet.firstReaders(INSTANCES - 1));
       store.remove("gone");
       fleet.advance(1_900);
       fleet.nodes.stream()
