Test responses that are broken off after each possible part

A report of another operator: a target stopped within the head of its response and closed, and callers got a 200 framed as whole. Not seen here: each part of a response with a length, in chunks or ended by its connection, closed or reset, on a new and on a reused connection, gives 502 with an unknown outcome; a streamed body stays visibly incomplete.

--- a/entry/src/test/java/org/bergamotcross/entry/path/ConfiguredHeadersTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/path/ConfiguredHeadersTest.java
@@ -1,7 +1,9 @@
 package org.bergamotcross.entry.path;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
+import java.io.IOException;
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -159,6 +161,112 @@
     }
   }
 
+  /**
+   * Guards against a response that the target broke off and that looks complete to the caller. The
+   * target ends the connection after each possible part of a response.
+   */
+  @Nested
+  class BrokenOffResponses {
+    private static final String WITH_LENGTH =
+        "HTTP/1.1 200 OK\r\nX-Try: t1\r\nX-Seal: s\r\nContent-Length: 12\r\n\r\nwhole answer";
+    private static final String IN_CHUNKS =
+        "HTTP/1.1 200 OK\r\nX-Try: t1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n";
+    private static final String UNTIL_CLOSE =
+        "HTTP/1.1 200 OK\r\nX-Try: t1\r\nConnection: close\r\nX-Seal: s\r\n\r\n";
+
+    @ParameterizedTest
+    @ValueSource(strings = {WITH_LENGTH, IN_CHUNKS, UNTIL_CLOSE})
+    void neverLookComplete(String response) throws Exception {
+      checkEachPart(response, false);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {WITH_LENGTH, IN_CHUNKS, UNTIL_CLOSE})
+    void neverLookCompleteAfterAReset(String response) throws Exception {
+      checkEachPart(response, true);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {WITH_LENGTH, IN_CHUNKS, UNTIL_CLOSE})
+    void neverLookCompleteOnAReusedConnection(String response) throws Exception {
+      AtomicInteger length = new AtomicInteger();
+      RawTarget.RequestHandler breaksOffSecond =
+          (connection, request) -> {
+            if (request.name().equals("first")) {
+              connection.write(ok(request, "first"));
+            } else {
+              connection.write(response.substring(0, length.get()));
+              connection.close();
+            }
+          };
+      try (RawTarget target = new RawTarget(breaksOffSecond);
+          EntryInstance entry = start(target);
+          RawCaller caller = new RawCaller(entry.port())) {
+        for (int i = 1; i < response.length(); i++) {
+          length.set(i);
+          assertThat(caller.send("POST", "/team/open/first", "", KEY).body()).isEqualTo("first");
+          RawTarget.Message order = caller.send("POST", "/team/open/r", "", KEY, "X-Try: t1");
+          assertWithMessage("%s of %s characters", i, response.length())
+              .that(RawCaller.refusalAndOutcome(order))
+              .isEqualTo("target-failed/unknown");
+        }
+      }
+    }
+
+    // The body is larger than what is read before the response is delivered.
+    @ParameterizedTest
+    @ValueSource(strings = {"Content-Length: 5000", "Transfer-Encoding: chunked"})
+    void neverLookCompleteWhenTheyAreStreamed(String framing) throws Exception {
+      String head = "HTTP/1.1 200 OK\r\nX-Try: t1\r\n" + framing + "\r\n\r\n";
+      String body = framing.endsWith("chunked") ? "1388\r\n" : "";
+      RawTarget.RequestHandler breaksOff =
+          (connection, request) -> {
+            connection.write(head + body + "x".repeat(3_000));
+            connection.close();
+          };
+      try (RawTarget target = new RawTarget(breaksOff);
+          EntryInstance entry = start(target);
+          RawCaller caller = new RawCaller(entry.port())) {
+        try {
+          RawTarget.Message cut = caller.send("POST", "/team/open/r", "", KEY, "X-Try: t1");
+          if (RawCaller.status(cut) == 200) {
+            assertThat(cut.header("content-length")).isEqualTo("5000");
+            assertThat(cut.body().length()).isLessThan(5_000);
+          } else {
+            assertThat(RawCaller.refusalAndOutcome(cut)).isEqualTo("target-failed/unknown");
+          }
+        } catch (IOException e) {
+          // The caller's connection ended within the body.
+          assertThat(e).isNotNull();
+        }
+      }
+    }
+
+    private void checkEachPart(String response, boolean reset) throws Exception {
+      AtomicInteger length = new AtomicInteger();
+      RawTarget.RequestHandler breaksOff =
+          (connection, request) -> {
+            connection.write(response.substring(0, length.get()));
+            if (reset) {
+              connection.socket().setSoLinger(true, 0);
+            }
+            connection.close();
+          };
+      try (RawTarget target = new RawTarget(breaksOff);
+          EntryInstance entry = start(target)) {
+        for (int i = 1; i < response.length(); i++) {
+          length.set(i);
+          try (RawCaller caller = new RawCaller(entry.port())) {
+            RawTarget.Message order = caller.send("POST", "/team/open/r", "", KEY, "X-Try: t1");
+            assertWithMessage("%s of %s characters", i, response.length())
+                .that(RawCaller.refusalAndOutcome(order))
+                .isEqualTo("target-failed/unknown");
+          }
+        }
+      }
+    }
+  }
+
   @Nested
   class CloseDelimitedResponses {
     @Test
