--- a/entry/src/test/java/org/bergamotcross/entry/catalog/CatalogDutyTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/catalog/CatalogDutyTest.java
@@ -689,6 +689,25 @@
       assertThat(fleet.nodes.getFirst().targets()).containsExactly("a");
     }
 
+    // Guards against a removal that is skipped in an upgrade: older builds send their first read,
+    // which was a complete list, like changes from offset 0.
+    @Test
+    void ofAnOlderBuildDoNotHideRemovals() {
+      publishTwoTargets();
+      store.remove("gone");
+      CatalogMessages.Update update =
+          new CatalogMessages.Update(
+              1,
+              0,
+              store.records.size(),
+              List.of(CatalogMessages.TargetRecord.of(store.records.getFirst())),
+              false);
+      fleet.forEach(
+          node -> node.inbox.add(new CatalogInput.UpdateReceived(id(node.index ^ 1), update)));
+      fleet.advance(1_000);
+      fleet.forEach(node -> assertThat(node.targets()).containsExactly("a"));
+    }
+
     // Guards against empty pools after an outage in which the entries of live targets expired and
     // an instance was restarted.
     @Test
--- a/entry/src/test/java/org/bergamotcross/entry/path/CopiedRejectionTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/path/CopiedRejectionTest.java
@@ -97,6 +97,24 @@
     }
   }
 
+  @Nested
+  class ManyRequests {
+    // Guards against a request that fails because its connection has carried as many as it may.
+    @Test
+    void useAnotherConnectionInTime() throws Exception {
+      RawTarget.RequestHandler answers = (connection, request) -> connection.write(done(request));
+      try (RawTarget target = new RawTarget(answers);
+          EntryInstance entry = start(ECHOED, target);
+          RawCaller caller = new RawCaller(entry.port())) {
+        for (int i = 0; i < 600; i++) {
+          RawTarget.Message order = caller.send("POST", "/team/open/r", "", KEY, "X-Try: t" + i);
+          assertThat(order.body()).isEqualTo("done");
+        }
+        assertThat(target.acceptedConnections()).isAtLeast(3);
+      }
+    }
+  }
+
   @Nested
   class RejectionWithoutRequestId {
     @Test
--- a/entry/src/test/java/org/bergamotcross/entry/peer/FrameCodecTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/peer/FrameCodecTest.java
@@ -94,6 +94,10 @@
     }
   }
 
+  record EarlierUpdate(long end) {}
+
+  record LaterUpdate(long end, boolean complete) {}
+
   record LaterHeartbeat(long sequence, String addition, long offset) {}
 
   @Nested
@@ -104,5 +108,14 @@
           frames.decodeHeartbeat(records.encode(new LaterHeartbeat(7, "new", 9))).orElseThrow();
       assertSame(read, new Heartbeat(7, 0, 0, 9, new byte[0]));
     }
+
+    // Guards against dropping a message of an older instance that lacks a flag.
+    @Test
+    void readMissingFlagsAsFalse() {
+      assertThat(records.decode(records.encode(new EarlierUpdate(7)), LaterUpdate.class))
+          .hasValue(new LaterUpdate(7, false));
+      assertThat(records.decode(records.encode(new LaterUpdate(7, true)), EarlierUpdate.class))
+          .hasValue(new EarlierUpdate(7));
+    }
   }
 }
