Send a complete list to the peers only after a deletion

Cause: since complete lists are sent as such, an instance that restarted sent its first list to all peers, even if it had a peer's state already.

Change: only a read that asked for later records and got the list instead is passed on. A peer that is behind the next changes asks for the state.

Evidence: CatalogDutyTest.CompleteLists.areSentToAllPeersOnlyAfterADeletion failed before with 5 lists for 6 restarts.

--- a/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogDuty.java
+++ b/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogDuty.java
@@ -85,6 +85,10 @@
   private List<TargetEntry> publishedTargets = List.of();
   private long settingsEnd;
   private long targetsEnd;
+
+  /** The offset that the last read of the targets requested; 0 for the first read. */
+  private long targetsReadFrom;
+
   private long revision = -1;
 
   /** When this instance or a peer last read the list of targets. */
@@ -182,8 +186,9 @@
     }
     if (!readingTargets && !now.isBefore(nextTargetsReadAt())) {
       readingTargets = true;
+      targetsReadFrom = targetsEnd;
       source
-          .readTargets(targetsEnd)
+          .readTargets(targetsReadFrom)
           .thenAccept(r -> completions.accept(new CatalogInput.TargetsReadCompleted(r)));
     }
     if (isDue(syncRequestAt, now)) {
@@ -313,7 +318,11 @@
         markSourceAvailable();
         recordTargetsRead(now);
         applyCompleteList(list.records(), list.end(), "store", now);
-        broadcastUpdate(0, list.end(), list.records(), true);
+        // After a start, the peers have a state of their own. The list of every instance that
+        // starts would be most of the traffic between instances.
+        if (targetsReadFrom > 0) {
+          broadcastUpdate(0, list.end(), list.records(), true);
+        }
         publishIfChanged(now, "store");
       }
       case CatalogSource.TargetsReadResult.Unavailable unavailable -> {
--- a/entry/src/test/java/org/bergamotcross/entry/catalog/CatalogDutyTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/catalog/CatalogDutyTest.java
@@ -289,6 +289,7 @@
     final List<Node> nodes = new ArrayList<>();
     final Set<Integer> unreachableInstances = new HashSet<>();
     final Set<Integer> stoppedInstances = new HashSet<>();
+    int sentLists;
     private final SimulatedStore store;
     private int millis = 1_000;
 
@@ -333,6 +334,9 @@
 
         @Override
         public void sendAll(String kind, Record message) {
+          if (message instanceof CatalogMessages.Update update && update.complete()) {
+            sentLists++;
+          }
           nodes.stream()
               .filter(node -> node.index != from)
               .filter(node -> !unreachableInstances.contains(node.index))
@@ -646,6 +650,22 @@
       }
     }
 
+    // Guards against traffic that grows with the square of the number of instances when many
+    // restart.
+    @Test
+    void areSentToAllPeersOnlyAfterADeletion() {
+      publishTwoTargets();
+      for (int i = 0; i < INSTANCES; i++) {
+        fleet.restart(i);
+        fleet.advance(1_000);
+      }
+      assertThat(fleet.sentLists).isEqualTo(0);
+      store.publish("a", false, 2);
+      store.deleteHistory();
+      fleet.advance(1_000);
+      assertThat(fleet.sentLists).isEqualTo(1);
+    }
+
     // Guards against a removed target that a peer which has never known it can't name.
     @Test
     void ofAPeerRemoveTargetsThatItHasNeverKnown() {
