Bound what callers' connections hold, and frame requests before Pekko parses them

Cause: Pekko collects a chunk until its last byte has arrived (up to 1 MiB for each connection), makes several objects of each small chunk of a read, and nothing counts what all connections hold together. An idle connection kept its last request and response, and a description of Pekko's layers of its own.

Requests sent ahead: the deadline of a second request counted only from the end of the first one; PipelinedRequestsTest.Deadlines failed first (200 where the deadline had passed).

--- a/entry/src/main/java/org/bergamotcross/entry/http/CallerExchange.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/CallerExchange.java
@@ -2,7 +2,6 @@
 
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
@@ -30,7 +29,7 @@
   private final EventLog events;
   private final BooleanSupplier closeConnections;
   private final AtomicInteger openExchanges;
-  private final AtomicBoolean open = new AtomicBoolean(true);
+  private final CompletableFuture<Void> finished = new CompletableFuture<>();
   private volatile boolean bodyStarted;
   private final CompletableFuture<HttpResponse> response = new CompletableFuture<>();
 
@@ -144,16 +143,26 @@
    * @return true, for example, when the caller disconnected between the response head and its body
    */
   boolean isBodyUnread() {
-    return open.get() && !bodyStarted;
+    return !finished.isDone() && !bodyStarted;
   }
 
   /** Closes the exchange: the whole response was written, or it never will be. */
   void finish() {
-    if (open.compareAndSet(true, false)) {
+    if (finished.complete(null)) {
       openExchanges.decrementAndGet();
     }
   }
 
+  /**
+   * Runs an action once the exchange is closed, at once if it is already.
+   *
+   * @param action the action
+   */
+  void whenFinished(Runnable action) {
+    CompletionStage<Void> end = finished;
+    end.thenRun(action);
+  }
+
   /**
    * Closes the exchange without a response, because the caller has disconnected.
    *
--- a/entry/src/main/java/org/bergamotcross/entry/http/FrontEnd.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/FrontEnd.java
@@ -5,20 +5,25 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
+import org.apache.pekko.NotUsed;
 import org.apache.pekko.actor.ActorSystem;
+import org.apache.pekko.actor.Cancellable;
 import org.apache.pekko.http.javadsl.Http;
-import org.apache.pekko.http.javadsl.IncomingConnection;
-import org.apache.pekko.http.javadsl.ServerBinding;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.settings.ServerSettings;
 import org.apache.pekko.stream.KillSwitches;
 import org.apache.pekko.stream.Materializer;
 import org.apache.pekko.stream.SharedKillSwitch;
 import org.apache.pekko.stream.SystemMaterializer;
-import org.apache.pekko.stream.javadsl.Flow;
+import org.apache.pekko.stream.TLSProtocol.SslTlsInbound;
+import org.apache.pekko.stream.TLSProtocol.SslTlsOutbound;
+import org.apache.pekko.stream.javadsl.BidiFlow;
 import org.apache.pekko.stream.javadsl.Keep;
 import org.apache.pekko.stream.javadsl.Sink;
-import org.apache.pekko.stream.javadsl.Source;
+import org.apache.pekko.stream.javadsl.TLSPlacebo;
+import org.apache.pekko.stream.javadsl.Tcp;
+import org.apache.pekko.util.ByteString;
 import org.bergamotcross.core.admission.ExecutionOutcome;
 import org.bergamotcross.core.admission.Refusal;
 import org.bergamotcross.entry.AdmissionMessage;
@@ -35,11 +40,18 @@
 import org.bergamotcross.kernel.Ring;
 import org.bergamotcross.kernel.RingOfferResult;
 import org.bergamotcross.kernel.TimeSource;
+import scala.concurrent.duration.FiniteDuration;
 
 /** Serves callers over HTTP: turns their requests into messages for the admission duty. */
 final class FrontEnd implements OpenRequests {
-  // Far above what a load balancer opens; bounds the memory that idle connections hold.
-  private static final int MAX_CALLER_CONNECTIONS = 16_384;
+  /** Pekko's layer for connections without TLS; its sessions are of a subtype of the layer's. */
+  @SuppressWarnings("unchecked")
+  private static final BidiFlow<SslTlsOutbound, ByteString, ByteString, SslTlsInbound, NotUsed>
+      PLAIN_TEXT =
+          (BidiFlow<SslTlsOutbound, ByteString, ByteString, SslTlsInbound, NotUsed>)
+              (BidiFlow<?, ?, ?, ?, ?>) TLSPlacebo.getInstance();
+
+  private static final Duration STALL_CHECK_INTERVAL = Duration.ofSeconds(1);
   // Pekko starts to read a response body within microseconds; 1 s covers a pause of the process.
   private static final Duration UNREAD_BODY_TIMEOUT = Duration.ofSeconds(1);
 
@@ -48,11 +60,13 @@
   private final long maxBodyBytes;
   private final AtomicInteger openRequests = new AtomicInteger();
   private final AtomicInteger openConnections = new AtomicInteger();
-  private final AtomicReference<Optional<ServerBinding>> binding =
+  private final AtomicReference<Optional<Tcp.ServerBinding>> binding =
       new AtomicReference<>(Optional.empty());
   private final SharedKillSwitch idleConnections = KillSwitches.shared("caller connections");
   private final HttpOptions options;
   private final CallerResponseEncoder responses;
+  private final CallerLimits limits;
+  private final CallerMemory memory;
   private volatile boolean stopping;
   private volatile boolean refusingRequests;
 
@@ -61,6 +75,14 @@
     this.time = context.time();
     this.options = HttpOptions.of(context.settings());
     this.responses = new CallerResponseEncoder(options);
+    this.limits = CallerLimits.of(context.settings());
+    this.memory =
+        new CallerMemory(
+            limits.heldBytes(),
+            limits.connections(),
+            limits.stallTimeout(),
+            events,
+            context.metrics());
     this.maxBodyBytes = context.settings().value(EntrySettings.MAX_BODY_BYTES);
   }
 
@@ -80,18 +102,32 @@
         new ConnectionHandler(
             context.ring(Topics.ADMISSION).orElseThrow(() -> missingTopic("admission")),
             context.ring(Topics.ROUTING).orElseThrow(() -> missingTopic("routing")),
-            system);
-    ServerBinding opened =
+            system,
+            settings);
+    Tcp.ServerBinding opened =
         ListeningSockets.awaitBinding(
-            Http.get(system)
-                .newServerAt(address.getAddress().getHostAddress(), address.getPort())
-                .withSettings(settings)
-                .connectionSource()
+            Tcp.get(system)
+                .bind(
+                    address.getAddress().getHostAddress(),
+                    address.getPort(),
+                    settings.getBacklog(),
+                    settings.getSocketOptions(),
+                    false,
+                    finite(settings.getTimeouts().idleTimeout()))
                 .toMat(Sink.foreach(handler::accept), Keep.left())
                 .run(materializer),
             address,
             "[listen] callers");
     binding.set(Optional.of(opened));
+    Cancellable stallCheck =
+        system
+            .scheduler()
+            .scheduleWithFixedDelay(
+                STALL_CHECK_INTERVAL,
+                STALL_CHECK_INTERVAL,
+                () -> memory.closeStalled(time.now()),
+                system.dispatcher());
+    context.closer().register("stalled callers", stallCheck::cancel);
     context.closer().register("caller listener", this::stop);
   }
 
@@ -101,7 +137,7 @@
    * @return the address with the actual port, or empty before the socket is open
    */
   Optional<InetSocketAddress> address() {
-    return binding.get().map(ServerBinding::localAddress);
+    return binding.get().map(Tcp.ServerBinding::localAddress);
   }
 
   /**
@@ -130,7 +166,7 @@
    */
   void stop() {
     refuseNewRequests();
-    binding.get().ifPresent(ServerBinding::unbind);
+    binding.get().ifPresent(Tcp.ServerBinding::unbind);
   }
 
   @Override
@@ -148,6 +184,12 @@
     idleConnections.shutdown();
   }
 
+  private static Optional<Duration> finite(scala.concurrent.duration.Duration duration) {
+    return duration instanceof FiniteDuration finite
+        ? Optional.of(Duration.ofNanos(finite.toNanos()))
+        : Optional.empty();
+  }
+
   private static IllegalStateException missingTopic(String topic) {
     return new IllegalStateException("no plug-in opened the " + topic + " topic");
   }
@@ -158,33 +200,47 @@
     private final Ring<RoutingMessage> routing;
     private final ActorSystem system;
     private final Materializer materializer;
+    private final Duration lingerTimeout;
+    // Shared by all connections, because its description takes 10 KB.
+    private final BidiFlow<ByteString, HttpRequest, HttpResponse, ByteString, NotUsed> httpLayer;
 
     ConnectionHandler(
-        Ring<AdmissionMessage> admission, Ring<RoutingMessage> routing, ActorSystem system) {
+        Ring<AdmissionMessage> admission,
+        Ring<RoutingMessage> routing,
+        ActorSystem system,
+        ServerSettings settings) {
       this.admission = admission;
       this.routing = routing;
       this.system = system;
       this.materializer = SystemMaterializer.get(system).materializer();
+      this.lingerTimeout = finite(settings.getTimeouts().lingerTimeout()).orElse(Duration.ZERO);
+      this.httpLayer = Http.get(system).serverLayer(settings).atop(PLAIN_TEXT).reversed();
     }
 
-    void accept(IncomingConnection incoming) {
-      if (openConnections.incrementAndGet() > MAX_CALLER_CONNECTIONS) {
-        openConnections.decrementAndGet();
-        incoming.handleWith(Flow.fromSinkAndSource(Sink.cancelled(), Source.empty()), materializer);
-        return;
-      }
+    void accept(Tcp.IncomingConnection incoming) {
+      openConnections.incrementAndGet();
       CallerConnection connection =
           new CallerConnection(
               this::receive,
+              time,
               this::reportCallerGone,
               openConnections::decrementAndGet,
               check ->
                   system.scheduler().scheduleOnce(UNREAD_BODY_TIMEOUT, check, system.dispatcher()));
-      incoming.handleWith(connection.flow(idleConnections), materializer);
+      incoming.handleWith(
+          BidiFlow.fromGraph(socketStage(connection))
+              .reversed()
+              .atop(httpLayer)
+              .join(connection.flow(idleConnections)),
+          materializer);
+    }
+
+    private CallerSocketStage socketStage(CallerConnection connection) {
+      return new CallerSocketStage(
+          memory, connection::hasOpenRequest, limits.headBytes(), lingerTimeout, time);
     }
 
-    private CallerExchange receive(HttpRequest request) {
-      ClockReading now = time.now();
+    private CallerExchange receive(HttpRequest request, ClockReading now) {
       CallerRequestHead head = CallerRequestHead.read(request, options.names());
       CallerExchange exchange =
           new CallerExchange(request, head.id(), responses, events, () -> stopping, openRequests);
--- a/entry/src/main/java/org/bergamotcross/entry/http/FrontEndPlugin.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/FrontEndPlugin.java
@@ -24,6 +24,7 @@
   @Override
   public List<Setting<?>> settings() {
     List<Setting<?>> all = new ArrayList<>(HttpOptions.settings());
+    all.addAll(CallerLimits.settings());
     all.addAll(
         List.of(
             EntrySettings.CALLER_ADDRESS,
--- a/entry/src/main/java/org/bergamotcross/entry/http/ListeningSockets.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/ListeningSockets.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import org.apache.pekko.http.javadsl.ServerBinding;
 import org.bergamotcross.entry.EntrySettings;
 import org.bergamotcross.kernel.PluginStartException;
 import org.bergamotcross.kernel.Setting;
@@ -21,14 +20,14 @@
   /**
    * Waits until a listening socket is bound.
    *
+   * @param <B> the type of the binding
    * @param binding the pending binding
    * @param address the address, for the error message
    * @param setting the setting that holds the address, for the error message
    * @return the binding
    * @throws PluginStartException if the address can't be bound in time
    */
-  static ServerBinding awaitBinding(
-      CompletionStage<ServerBinding> binding, InetSocketAddress address, String setting)
+  static <B> B awaitBinding(CompletionStage<B> binding, InetSocketAddress address, String setting)
       throws PluginStartException {
     try {
       return binding.toCompletableFuture().get(BIND_TIMEOUT_SECONDS, TimeUnit.SECONDS);
--- a/entry/src/test/java/org/bergamotcross/entry/path/PipelinedRequestsTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/path/PipelinedRequestsTest.java
@@ -42,6 +42,37 @@
     }
   }
 
+  @Nested
+  class Deadlines {
+    // Guards against a deadline that counts only from the end of the request before: the caller
+    // would have given up, and the target would be told a time that is not left.
+    @Test
+    void countFromTheArrivalOfEachRequest() throws Exception {
+      RawTarget.RequestHandler firstIsSlow =
+          (connection, request) -> {
+            if (request.name().equals("a")) {
+              Thread.sleep(1_000);
+            }
+            connection.write(RawTarget.ok(request.name()));
+          };
+      String late = get("late").replace("\r\n\r\n", "\r\nX-Request-Timeout-Ms: 300\r\n\r\n");
+      try (RawTarget target = new RawTarget(firstIsSlow);
+          EntryInstance entry = EntryInstance.start(List.of(target.port()));
+          RawCaller caller = new RawCaller(entry.port())) {
+        caller.write(get("a") + late + late + get("b"));
+        assertThat(caller.read().body()).isEqualTo("a");
+        for (int i = 0; i < 2; i++) {
+          RawTarget.Message refused = caller.read();
+          assertThat(RawCaller.status(refused)).isEqualTo(503);
+          assertThat(RawCaller.refusalAndOutcome(refused))
+              .isEqualTo("deadline-before-send/not-run");
+        }
+        assertThat(caller.read().body()).isEqualTo("b");
+        assertThat(names(target)).containsExactly("a", "b").inOrder();
+      }
+    }
+  }
+
   @Nested
   class InLargeNumbers {
     // Guards against a parser that recurses once for each request of a read.
--- a/systemtest/src/test/java/org/bergamotcross/systemtest/EntryProcess.java
+++ b/systemtest/src/test/java/org/bergamotcross/systemtest/EntryProcess.java
@@ -3,14 +3,26 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.bergamotcross.standin.FreePorts;
 
 /** An entry instance as a child process that a test can kill, pause, resume and stop. */
 final class EntryProcess implements AutoCloseable {
   private static final long EXIT_TIMEOUT_SECONDS = 40;
 
+  /**
+   * What a test sets for a process.
+   *
+   * @param jvmArguments the arguments of the JVM
+   * @param sections additional sections of the settings file
+   */
+  record Options(List<String> jvmArguments, String sections) {
+    static final Options DEFAULT = new Options(List.of("-Xmx256m", "-XX:TieredStopAtLevel=1"), "");
+  }
+
   private final String id;
   private final int callerPort;
   private final int operationsPort;
@@ -34,9 +46,16 @@
    * @param platformPort the port of the platform stand-in
    * @param peerPort the port on which the instance listens for its peers
    * @param seeds the comma-separated addresses of its seed peers
+   * @param options the arguments and settings of the test
    */
   static EntryProcess start(
-      Path directory, String id, String failureDomain, int platformPort, int peerPort, String seeds)
+      Path directory,
+      String id,
+      String failureDomain,
+      int platformPort,
+      int peerPort,
+      String seeds,
+      Options options)
       throws IOException {
     int callerPort = FreePorts.next();
     int operationsPort = FreePorts.next();
@@ -56,20 +75,21 @@
         [peers]
         seeds = %s
         """
-            .formatted(
-                id, failureDomain, callerPort, peerPort, operationsPort, platformPort, seeds));
+            .formatted(id, failureDomain, callerPort, peerPort, operationsPort, platformPort, seeds)
+            .concat(options.sections()));
     Path log = directory.resolve(id + ".log");
+    List<String> command = new ArrayList<>();
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.addAll(options.jvmArguments());
+    command.addAll(
+        List.of(
+            "-cp",
+            System.getProperty("java.class.path"),
+            "org.bergamotcross.entry.EntryMain",
+            "--settings",
+            settings.toString()));
     Process process =
-        new ProcessBuilder(
-                List.of(
-                    Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                    "-Xmx256m",
-                    "-XX:TieredStopAtLevel=1",
-                    "-cp",
-                    System.getProperty("java.class.path"),
-                    "org.bergamotcross.entry.EntryMain",
-                    "--settings",
-                    settings.toString()))
+        new ProcessBuilder(command)
             .redirectErrorStream(true)
             .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
             .start();
@@ -93,6 +113,27 @@
     return Files.readAllLines(log);
   }
 
+  boolean isAlive() {
+    return process.isAlive();
+  }
+
+  /** Returns the largest resident memory that the process has had, in KiB. */
+  long peakMemoryKib() throws IOException {
+    return Files.readAllLines(Path.of("/proc", Long.toString(process.pid()), "status")).stream()
+        .filter(line -> line.startsWith("VmHWM:"))
+        .mapToLong(line -> Long.parseLong(line.replaceAll("[^0-9]", "")))
+        .findFirst()
+        .orElseThrow();
+  }
+
+  /** Returns the number of file descriptors that the process has open. */
+  long openDescriptors() throws IOException {
+    try (Stream<Path> descriptors =
+        Files.list(Path.of("/proc", Long.toString(process.pid()), "fd"))) {
+      return descriptors.count();
+    }
+  }
+
   /** Kills the process at once with SIGKILL, without a graceful shutdown. */
   void kill() throws InterruptedException {
     process.destroyForcibly();
--- a/systemtest/src/test/java/org/bergamotcross/systemtest/ProcessFleet.java
+++ b/systemtest/src/test/java/org/bergamotcross/systemtest/ProcessFleet.java
@@ -39,6 +39,7 @@
 
   private final Closer closer = new Closer();
   private final Path directory;
+  private final EntryProcess.Options options;
   private final PlatformStandin platform;
   private final List<TargetStandin> targets = new ArrayList<>();
   private final List<EntryProcess> entries = new ArrayList<>();
@@ -47,8 +48,9 @@
       HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
   private long settingsVersion = -1;
 
-  private ProcessFleet(Path directory) {
+  private ProcessFleet(Path directory, EntryProcess.Options options) {
     this.directory = directory;
+    this.options = options;
     this.platform = closer.register("platform", PlatformStandin.builder().start());
   }
 
@@ -62,7 +64,15 @@
    */
   static ProcessFleet start(int targetCount, int entryCount, double rate, double burst)
       throws Exception {
-    ProcessFleet fleet = new ProcessFleet(Files.createTempDirectory("bergamotcross-fleet"));
+    return start(targetCount, entryCount, rate, burst, EntryProcess.Options.DEFAULT);
+  }
+
+  /** Starts a fleet whose processes get the options of the test. */
+  static ProcessFleet start(
+      int targetCount, int entryCount, double rate, double burst, EntryProcess.Options options)
+      throws Exception {
+    ProcessFleet fleet =
+        new ProcessFleet(Files.createTempDirectory("bergamotcross-fleet"), options);
     for (int i = 0; i < targetCount; i++) {
       fleet.targets.add(
           fleet.closer.register("target", TargetStandin.builder("target-" + i).start()));
@@ -90,7 +100,8 @@
             "d" + index,
             platform.address().getPort(),
             peerPorts.get(index),
-            String.join(", ", seeds)));
+            String.join(", ", seeds),
+            options));
   }
 
   /** Starts a new process under the same instance id, without any state of the previous one. */
