Follow a store that was restored from an older copy

Offsets were the only order of what the store returns. After a restore they go back and are given out again, so instances took no new settings and targets until the offsets had passed the old ones, and no instance registered again.

A position is now an era and an offset.

--- a/core/src/main/java/org/bergamotcross/core/config/TargetDirectory.java
+++ b/core/src/main/java/org/bergamotcross/core/config/TargetDirectory.java
@@ -10,24 +10,62 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.bergamotcross.kernel.ClockReading;
 
 /**
  * Merges the records of the target list into the targets that may get requests.
  *
- * <p>The record with the highest offset of a target wins, so records may arrive repeatedly, in any
+ * <p>The record at the latest position of a target wins, so records may arrive repeatedly, in any
  * order and from any instance. A record of an earlier start, or an earlier report of the same
  * start, has no effect even if it was written late.
  *
  * <p>The history of the list may be deleted, and the record of a removal with it. A complete list
  * therefore removes the targets that it does not name.
+ *
+ * <p>The list may be restored from an older copy, which begins a new era. A restored entry of a
+ * target that was removed in an earlier era does not bring it back; only a later report does.
  */
 public final class TargetDirectory {
+  /**
+   * A removal.
+   *
+   * @param era the era in which the target was removed
+   * @param usableUntil when the grace period ends
+   */
+  private record Removal(long era, ClockReading usableUntil) {}
+
+  /**
+   * The state of a target.
+   *
+   * @param position the position of its latest record
+   * @param entry the entry with the latest report; empty if only a removal is known
+   * @param lastReport the latest report; empty if unknown
+   * @param removal the removal; empty while the target is listed
+   */
   private record KnownTarget(
-      long offset, Optional<TargetEntry> entry, Optional<ClockReading> usableUntil) {
+      CatalogPosition position,
+      Optional<TargetEntry> entry,
+      Optional<TargetReport> lastReport,
+      Optional<Removal> removal) {
     boolean isUsable(ClockReading now) {
       return entry.filter(e -> !e.draining()).isPresent()
-          && usableUntil.map(now::isBefore).orElse(true);
+          && removal.map(r -> now.isBefore(r.usableUntil())).orElse(true);
+    }
+
+    /** Tells whether an entry has no effect because this state is based on a later report. */
+    boolean supersedes(TargetChange.Published published) {
+      // After a removal in an earlier era, the report known before it may be a restored one.
+      boolean isRemovedBefore =
+          removal.filter(r -> r.era() < published.position().era()).isPresent();
+      return lastReport
+          .map(known -> published.entry().report().compareTo(known))
+          .filter(order -> isRemovedBefore ? order <= 0 : order < 0)
+          .isPresent();
+    }
+
+    KnownTarget at(CatalogPosition newPosition) {
+      return new KnownTarget(newPosition, entry, lastReport, removal);
     }
   }
 
@@ -35,8 +73,8 @@
   private record Usable(List<TargetEntry> entries, Optional<ClockReading> until) {}
 
   private final Map<TargetId, KnownTarget> known = new HashMap<>();
-  // A complete list up to this offset was applied; exclusive.
-  private long listedUntil;
+  // A complete list up to this position was applied; exclusive.
+  private CatalogPosition listedUntil = CatalogPosition.START;
   // Most records only show that a target is alive and leave the usable targets as they are.
   private Optional<Usable> cachedUsable = Optional.empty();
 
@@ -53,13 +91,13 @@
    */
   public boolean apply(TargetChange targetRecord, ClockReading now) {
     KnownTarget previous = known.get(targetRecord.id());
-    if (previous == null && targetRecord.offset() < listedUntil) {
+    if (previous == null && targetRecord.position().isBefore(listedUntil)) {
       // The complete list did not name the target any more.
       return false;
     }
-    if (previous != null && previous.offset() >= targetRecord.offset()) {
+    if (previous != null && !previous.position().isBefore(targetRecord.position())) {
       // Another instance may not have the record, even if a peer has sent it to this one.
-      return previous.offset() == targetRecord.offset();
+      return previous.position().equals(targetRecord.position());
     }
     boolean isChange =
         switch (targetRecord) {
@@ -67,7 +105,7 @@
               publish(published, Optional.ofNullable(previous));
           case TargetChange.Removed removed -> remove(removed, Optional.ofNullable(previous), now);
         };
-    if (isChange) {
+    if (isChange || targetRecord instanceof TargetChange.Removed) {
       cachedUsable = Optional.empty();
     }
     return isChange;
@@ -78,49 +116,56 @@
    * the end of the list is known of them.
    *
    * @param records the records of all targets that are in the list
-   * @param end the offset up to which the list is complete, exclusive
+   * @param end the position up to which the list is complete, exclusive; a list of an earlier era
+   *     than the last one has no effect
    * @param gracePeriod how long a removed target may still be used
    * @param now the current time
    * @return the targets that were removed because the list does not name them
    */
   public List<TargetId> applyComplete(
-      List<TargetChange> records, long end, Duration gracePeriod, ClockReading now) {
+      List<TargetChange> records, CatalogPosition end, Duration gracePeriod, ClockReading now) {
+    if (end.era() < listedUntil.era()) {
+      return List.of();
+    }
     Set<TargetId> named = records.stream().map(TargetChange::id).collect(Collectors.toSet());
     List<TargetChange> removals = new ArrayList<>();
     known.forEach(
         (id, target) -> {
-          if (!named.contains(id) && target.usableUntil().isEmpty() && target.offset() < end) {
-            long removedAt = Math.max(target.offset() + 1, end - 1);
-            removals.add(new TargetChange.Removed(removedAt, id, gracePeriod));
+          if (!named.contains(id)
+              && target.removal().isEmpty()
+              && target.position().isBefore(end)) {
+            removals.add(
+                new TargetChange.Removed(
+                    CatalogPosition.latest(
+                        target.position().next(), new CatalogPosition(end.era(), end.offset() - 1)),
+                    id,
+                    gracePeriod));
           }
         });
     removals.forEach(removal -> apply(removal, now));
     records.forEach(targetRecord -> apply(targetRecord, now));
-    listedUntil = Math.max(listedUntil, end);
+    listedUntil = CatalogPosition.latest(listedUntil, end);
     return removals.stream().map(TargetChange::id).toList();
   }
 
   private boolean publish(TargetChange.Published targetRecord, Optional<KnownTarget> previous) {
-    TargetEntry entry = targetRecord.entry();
-    Optional<TargetEntry> previousEntry = previous.flatMap(KnownTarget::entry);
-    if (previousEntry.filter(e -> isEarlierReport(entry, e)).isPresent()) {
-      known.put(
-          targetRecord.id(),
-          new KnownTarget(
-              targetRecord.offset(), previousEntry, previous.flatMap(KnownTarget::usableUntil)));
+    if (previous.filter(p -> p.supersedes(targetRecord)).isPresent()) {
+      known.put(targetRecord.id(), previous.get().at(targetRecord.position()));
       return false;
     }
+    TargetEntry entry = targetRecord.entry();
     known.put(
         targetRecord.id(),
-        new KnownTarget(targetRecord.offset(), Optional.of(entry), Optional.empty()));
-    return previous.flatMap(KnownTarget::usableUntil).isPresent()
-        || !previousEntry.filter(e -> differsOnlyInSequence(e, entry)).isPresent();
-  }
-
-  private static boolean isEarlierReport(TargetEntry entry, TargetEntry than) {
-    long start = entry.startedAtMillis().orElse(0);
-    long otherStart = than.startedAtMillis().orElse(0);
-    return start < otherStart || (start == otherStart && entry.sequence() < than.sequence());
+        new KnownTarget(
+            targetRecord.position(),
+            Optional.of(entry),
+            Optional.of(entry.report()),
+            Optional.empty()));
+    return previous.flatMap(KnownTarget::removal).isPresent()
+        || !previous
+            .flatMap(KnownTarget::entry)
+            .filter(e -> differsOnlyInSequence(e, entry))
+            .isPresent();
   }
 
   private static boolean differsOnlyInSequence(TargetEntry a, TargetEntry b) {
@@ -134,12 +179,27 @@
   // Keeps the entry, so that a late record of the same start does not bring the target back.
   private boolean remove(
       TargetChange.Removed targetRecord, Optional<KnownTarget> previous, ClockReading now) {
-    ClockReading usableUntil = now.plus(targetRecord.gracePeriod());
+    ClockReading graceEnd = now.plus(targetRecord.gracePeriod());
+    // A repeated removal, as after a restore, does not make an unusable target usable again.
+    ClockReading usableUntil =
+        previous
+            .flatMap(KnownTarget::removal)
+            .map(Removal::usableUntil)
+            .filter(end -> end.isBefore(graceEnd))
+            .orElse(graceEnd);
+    Optional<TargetReport> lastReport =
+        Stream.concat(
+                previous.flatMap(KnownTarget::lastReport).stream(),
+                targetRecord.lastReport().stream())
+            .max(Comparator.naturalOrder());
     known.put(
         targetRecord.id(),
         new KnownTarget(
-            targetRecord.offset(), previous.flatMap(KnownTarget::entry), Optional.of(usableUntil)));
-    return previous.filter(b -> b.usableUntil().isEmpty()).isPresent();
+            targetRecord.position(),
+            previous.flatMap(KnownTarget::entry),
+            lastReport,
+            Optional.of(new Removal(targetRecord.position().era(), usableUntil))));
+    return previous.filter(p -> p.removal().isEmpty()).isPresent();
   }
 
   /**
@@ -194,7 +254,8 @@
    */
   public Optional<ClockReading> nextExpiry(ClockReading now) {
     return known.values().stream()
-        .flatMap(k -> k.usableUntil().stream())
+        .flatMap(k -> k.removal().stream())
+        .map(Removal::usableUntil)
         .filter(end -> end.isAfter(now))
         .min(Comparator.naturalOrder());
   }
@@ -209,13 +270,16 @@
     List<TargetChange> records = new ArrayList<>();
     known.forEach(
         (id, k) -> {
-          if (k.usableUntil().isPresent()) {
-            Duration remaining = k.usableUntil().get().since(now);
+          if (k.removal().isPresent()) {
+            Duration remaining = k.removal().get().usableUntil().since(now);
             records.add(
                 new TargetChange.Removed(
-                    k.offset(), id, remaining.isNegative() ? Duration.ZERO : remaining));
+                    k.position(),
+                    id,
+                    remaining.isNegative() ? Duration.ZERO : remaining,
+                    k.lastReport()));
           } else {
-            k.entry().ifPresent(e -> records.add(new TargetChange.Published(k.offset(), e)));
+            k.entry().ifPresent(e -> records.add(new TargetChange.Published(k.position(), e)));
           }
         });
     return records;
--- a/core/src/main/java/org/bergamotcross/core/config/TargetEntry.java
+++ b/core/src/main/java/org/bergamotcross/core/config/TargetEntry.java
@@ -19,4 +19,14 @@
     int slots,
     boolean draining,
     OptionalLong startedAtMillis,
-    long sequence) {}
+    long sequence) {
+
+  /**
+   * Returns which report of the target this entry is.
+   *
+   * @return the report
+   */
+  public TargetReport report() {
+    return new TargetReport(startedAtMillis.orElse(0), sequence);
+  }
+}
--- a/core/src/test/java/org/bergamotcross/core/config/TargetDirectoryTest.java
+++ b/core/src/test/java/org/bergamotcross/core/config/TargetDirectoryTest.java
@@ -24,7 +24,7 @@
   private static TargetChange entry(
       long offset, String id, int port, boolean draining, long start, long sequence) {
     return new TargetChange.Published(
-        offset,
+        at(1, offset),
         new TargetEntry(
             new Target(new TargetId(id), "10.0.0.1", port, new FailureDomain("a")),
             POOL,
@@ -34,8 +34,12 @@
             sequence));
   }
 
+  private static CatalogPosition at(long era, long offset) {
+    return new CatalogPosition(era, offset);
+  }
+
   private static TargetChange removed(long offset, String id, Duration gracePeriod) {
-    return new TargetChange.Removed(offset, new TargetId(id), gracePeriod);
+    return new TargetChange.Removed(at(1, offset), new TargetId(id), gracePeriod);
   }
 
   private List<String> usable(ClockReading now) {
@@ -130,7 +134,7 @@
       directory.apply(entry(2, "gone", 2, false, START, 1), NOW);
       assertThat(
               directory.applyComplete(
-                  List.of(entry(1, "a", 1, false, START, 1)), 4, Duration.ZERO, NOW))
+                  List.of(entry(1, "a", 1, false, START, 1)), at(1, 4), Duration.ZERO, NOW))
           .containsExactly(new TargetId("gone"));
       assertThat(usable(NOW)).containsExactly("a");
     }
@@ -139,7 +143,7 @@
     @Test
     void keepsTargetsThatWerePublishedAfterItsEnd() {
       directory.apply(entry(4, "later", 1, false, START, 1), NOW);
-      assertThat(directory.applyComplete(List.of(), 4, Duration.ZERO, NOW)).isEmpty();
+      assertThat(directory.applyComplete(List.of(), at(1, 4), Duration.ZERO, NOW)).isEmpty();
       assertThat(usable(NOW)).containsExactly("later");
     }
 
@@ -147,7 +151,7 @@
     @Test
     void doesNotHideALaterRegistration() {
       directory.apply(entry(3, "a", 1, false, START, 1), NOW);
-      directory.applyComplete(List.of(), 4, Duration.ZERO, NOW);
+      directory.applyComplete(List.of(), at(1, 4), Duration.ZERO, NOW);
       directory.apply(entry(5, "a", 1, false, START + 1, 0), NOW);
       assertThat(usable(NOW)).containsExactly("a");
     }
@@ -155,7 +159,7 @@
     @Test
     void leavesAGracePeriod() {
       directory.apply(entry(1, "a", 1, false, START, 1), NOW);
-      directory.applyComplete(List.of(), 4, Duration.ofSeconds(2), NOW);
+      directory.applyComplete(List.of(), at(1, 4), Duration.ofSeconds(2), NOW);
       assertThat(usable(NOW)).containsExactly("a");
       assertThat(usable(NOW.plus(Duration.ofSeconds(2)))).isEmpty();
     }
@@ -163,7 +167,7 @@
     // Guards against a removed target that comes back through a record sent by a slow peer.
     @Test
     void isNotExtendedByOlderRecords() {
-      directory.applyComplete(List.of(), 4, Duration.ZERO, NOW);
+      directory.applyComplete(List.of(), at(1, 4), Duration.ZERO, NOW);
       assertThat(directory.apply(entry(3, "gone", 1, false, START, 1), NOW)).isFalse();
       assertThat(usable(NOW)).isEmpty();
       assertThat(directory.apply(entry(4, "a", 1, false, START, 1), NOW)).isTrue();
--- a/entry/src/main/java/org/bergamotcross/entry/CatalogSource.java
+++ b/entry/src/main/java/org/bergamotcross/entry/CatalogSource.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import org.bergamotcross.core.config.ApiKey;
+import org.bergamotcross.core.config.CatalogPosition;
 import org.bergamotcross.core.config.Organisation;
 import org.bergamotcross.core.config.PoolId;
 import org.bergamotcross.core.config.Route;
@@ -17,6 +18,9 @@
  *
  * <p>Provided by a plug-in that adapts a platform. All methods are asynchronous: the returned
  * stages complete within a time limit and never complete exceptionally.
+ *
+ * <p>The store may be restored from an older copy. Each restore raises the era of the positions in
+ * its results; a result never mixes records of two eras.
  */
 public interface CatalogSource {
 
@@ -48,12 +52,12 @@
   /**
    * The settings in their published encoding, passed on to instances that can't read the store.
    *
-   * @param offset the offset of the document in the sequence of versions
+   * @param position the position of the document in the sequence of versions
    * @param content the encoded document
    */
   // The array is never modified, and records of this type are never compared.
   @SuppressWarnings("ArrayRecordComponent")
-  record SettingsDocument(long offset, byte[] content) {}
+  record SettingsDocument(CatalogPosition position, byte[] content) {}
 
   /** The result of reading settings. */
   sealed interface SettingsReadResult {
@@ -62,10 +66,11 @@
      * The read succeeded.
      *
      * @param document the newest document; empty when there is none at or after the requested
-     *     offset
-     * @param end the offset after the newest record
+     *     position
+     * @param end the position after the newest record
      */
-    record Read(Optional<SettingsDocument> document, long end) implements SettingsReadResult {}
+    record Read(Optional<SettingsDocument> document, CatalogPosition end)
+        implements SettingsReadResult {}
 
     /**
      * The settings can't be read at the moment.
@@ -97,12 +102,13 @@
   sealed interface TargetsReadResult {
 
     /**
-     * The read returned the records from the requested offset on.
+     * The read returned the records from the requested position on, which is of the store's present
+     * era.
      *
      * @param changes the usable records
-     * @param end the offset after the newest record
+     * @param end the position after the newest record
      */
-    record Changes(List<TargetChange> changes, long end) implements TargetsReadResult {
+    record Changes(List<TargetChange> changes, CatalogPosition end) implements TargetsReadResult {
 
       /** Makes an unmodifiable copy of the list. */
       public Changes {
@@ -111,14 +117,15 @@
     }
 
     /**
-     * The read returned the newest record of each target, because no offset was requested or the
-     * records from there on have been deleted. A target without a record here is not listed any
-     * more.
+     * The read returned the newest record of each target, because no position was requested, the
+     * records from there on have been deleted, or the store is in another era. A target without a
+     * record here is not listed any more.
      *
      * @param records the usable records
-     * @param end the offset up to which the list is complete, exclusive
+     * @param end the position up to which the list is complete, exclusive
      */
-    record CompleteList(List<TargetChange> records, long end) implements TargetsReadResult {
+    record CompleteList(List<TargetChange> records, CatalogPosition end)
+        implements TargetsReadResult {
 
       /** Makes an unmodifiable copy of the list. */
       public CompleteList {
@@ -141,8 +148,9 @@
      * The read succeeded.
      *
      * @param members the listed instances; some may no longer run
+     * @param era the era of the store
      */
-    record Read(List<Member> members) implements DirectoryReadResult {
+    record Read(List<Member> members, long era) implements DirectoryReadResult {
 
       /** Makes an unmodifiable copy of the list. */
       public Read {
@@ -161,8 +169,12 @@
   /** The result of an update of the instance directory. */
   sealed interface DirectoryUpdateResult {
 
-    /** The update was acknowledged. */
-    record Acknowledged() implements DirectoryUpdateResult {}
+    /**
+     * The update was acknowledged.
+     *
+     * @param era the era of the store in which it took effect
+     */
+    record Acknowledged(long era) implements DirectoryUpdateResult {}
 
     /**
      * The update was not acknowledged; it may or may not have been applied.
@@ -175,11 +187,12 @@
   /**
    * Reads the newest settings.
    *
-   * @param from the offset after the newest known settings, 0 when none are known
-   * @param wait how long the call may wait for settings at or after that offset
+   * @param from the position after the newest known settings, {@link CatalogPosition#START} when
+   *     none are known
+   * @param wait how long the call may wait for settings at or after that position
    * @return a stage with the result
    */
-  CompletionStage<SettingsReadResult> readSettings(long from, Duration wait);
+  CompletionStage<SettingsReadResult> readSettings(CatalogPosition from, Duration wait);
 
   /**
    * Decodes a document.
@@ -192,10 +205,11 @@
   /**
    * Reads records of the target list.
    *
-   * @param from the offset after the newest known record, 0 for the newest record of each target
+   * @param from the position after the newest known record, {@link CatalogPosition#START} for the
+   *     newest record of each target
    * @return a stage with the result
    */
-  CompletionStage<TargetsReadResult> readTargets(long from);
+  CompletionStage<TargetsReadResult> readTargets(CatalogPosition from);
 
   /**
    * Reads the instance directory.
@@ -217,7 +231,8 @@
    * Removes an instance from the directory.
    *
    * @param instance the instance
-   * @return a stage with the result; acknowledged also when the instance was not listed
+   * @return a stage with the result; acknowledged also when the instance was not listed, and of
+   *     unknown outcome when the store was restored meanwhile
    */
   CompletionStage<DirectoryUpdateResult> deregister(InstanceId instance);
 }
--- a/entry/src/main/java/org/bergamotcross/entry/platform/PooledHttpClient.java
+++ b/entry/src/main/java/org/bergamotcross/entry/platform/PooledHttpClient.java
@@ -4,12 +4,17 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeoutException;
 import org.apache.pekko.actor.ActorSystem;
 import org.apache.pekko.http.javadsl.Http;
+import org.apache.pekko.http.javadsl.model.HttpHeader;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.settings.ClientConnectionSettings;
@@ -32,8 +37,28 @@
    *
    * @param status the HTTP status
    * @param body the body
+   * @param headers the headers
    */
-  public record Response(int status, ByteString body) {}
+  public record Response(int status, ByteString body, List<HttpHeader> headers) {
+
+    /** Makes an unmodifiable copy of the headers. */
+    public Response {
+      headers = List.copyOf(headers);
+    }
+
+    /**
+     * Returns the value of a header.
+     *
+     * @param name the name, in any case
+     * @return the value of the first header of this name; empty if there is none
+     */
+    public Optional<String> header(String name) {
+      return headers.stream()
+          .filter(header -> header.is(name.toLowerCase(Locale.ROOT)))
+          .map(HttpHeader::value)
+          .findFirst();
+    }
+  }
 
   private final ActorSystem system;
   private final Http http;
@@ -99,7 +124,15 @@
     return response
         .entity()
         .toStrict(timeout.toMillis(), system)
-        .thenApply(entity -> new Response(response.status().intValue(), entity.getData()));
+        .thenApply(
+            entity ->
+                new Response(response.status().intValue(), entity.getData(), headers(response)));
+  }
+
+  private static List<HttpHeader> headers(HttpResponse response) {
+    List<HttpHeader> headers = new ArrayList<>();
+    response.getHeaders().forEach(headers::add);
+    return headers;
   }
 
   /**
--- a/entry/src/test/java/org/bergamotcross/entry/catalog/CatalogDutyTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/catalog/CatalogDutyTest.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
+import org.bergamotcross.core.config.CatalogPosition;
 import org.bergamotcross.core.config.Configuration;
 import org.bergamotcross.core.config.Pool;
 import org.bergamotcross.core.config.PoolId;
@@ -56,9 +57,10 @@
     fleet.nodes.forEach(node -> node.kernel.close());
   }
 
-  private static TargetChange target(long offset, String id, boolean draining, long sequence) {
+  private static TargetChange target(
+      CatalogPosition position, String id, boolean draining, long sequence) {
     return new TargetChange.Published(
-        offset,
+        position,
         new TargetEntry(
             new Target(new TargetId(id), "10.0.0.1", id.hashCode() & 0xfff, new FailureDomain("a")),
             POOL,
@@ -79,13 +81,37 @@
     int targetReads;
     int settingsReads;
     int firstRetained;
+    long era;
+
+    /** Returns the store as of an earlier time, in the next era. */
+    void restore(int keptRecords, int keptVersions) {
+      records.subList(keptRecords, records.size()).clear();
+      versions.subList(keptVersions, versions.size()).clear();
+      directory.clear();
+      firstRetained = Math.min(firstRetained, keptRecords);
+      era++;
+      records.replaceAll(this::ofThisEra);
+    }
+
+    CatalogPosition end() {
+      return new CatalogPosition(era, records.size());
+    }
+
+    private TargetChange ofThisEra(TargetChange change) {
+      CatalogPosition position = new CatalogPosition(era, change.position().offset());
+      return switch (change) {
+        case TargetChange.Published p -> new TargetChange.Published(position, p.entry());
+        case TargetChange.Removed r ->
+            new TargetChange.Removed(position, r.id(), r.gracePeriod(), r.lastReport());
+      };
+    }
 
     void publish(String id, boolean draining, long sequence) {
-      records.add(target(records.size(), id, draining, sequence));
+      records.add(target(end(), id, draining, sequence));
     }
 
     void remove(String id) {
-      records.add(new TargetChange.Removed(records.size(), new TargetId(id), Duration.ZERO));
+      records.add(new TargetChange.Removed(end(), new TargetId(id), Duration.ZERO));
     }
 
     /** Deletes all records but the newest of each target that was not removed. */
@@ -93,16 +119,16 @@
       firstRetained = records.size();
     }
 
-    CatalogSource.TargetsReadResult read(int from) {
-      if (from > 0 && from >= firstRetained) {
+    CatalogSource.TargetsReadResult read(CatalogPosition position) {
+      int from = (int) position.offset();
+      if (from > 0 && position.era() == era && from >= firstRetained && from <= records.size()) {
         return new CatalogSource.TargetsReadResult.Changes(
-            records.subList(from, records.size()), records.size());
+            records.subList(from, records.size()), end());
       }
       Map<TargetId, TargetChange> newest = new HashMap<>();
       records.forEach(item -> newest.put(item.id(), item));
       newest.values().removeIf(item -> item instanceof TargetChange.Removed);
-      return new CatalogSource.TargetsReadResult.CompleteList(
-          List.copyOf(newest.values()), records.size());
+      return new CatalogSource.TargetsReadResult.CompleteList(List.copyOf(newest.values()), end());
     }
   }
 
@@ -125,7 +151,7 @@
     }
 
     @Override
-    public CompletionStage<SettingsReadResult> readSettings(long from, Duration wait) {
+    public CompletionStage<SettingsReadResult> readSettings(CatalogPosition from, Duration wait) {
       store.settingsReads++;
       CompletableFuture<SettingsReadResult> read = new CompletableFuture<>();
       longPolls.add(() -> completeSettings(read, from, (int) wait.toMillis()));
@@ -133,23 +159,25 @@
     }
 
     private void completeSettings(
-        CompletableFuture<SettingsReadResult> read, long from, int waitMs) {
+        CompletableFuture<SettingsReadResult> read, CatalogPosition from, int waitMs) {
       if (isUnanswered()) {
         longPolls.add(
             () -> failAfter(read, new SettingsReadResult.Unavailable("no response"), waitMs));
       } else if (fails()) {
         pendingResults.add(() -> read.complete(new SettingsReadResult.Unavailable("rejected")));
       } else if (waitMs <= 0) {
-        pendingResults.add(
-            () -> read.complete(new SettingsReadResult.Read(Optional.empty(), from)));
-      } else if (store.versions.size() > from) {
+        CatalogPosition end = from.era() == store.era ? from : new CatalogPosition(store.era, 0);
+        pendingResults.add(() -> read.complete(new SettingsReadResult.Read(Optional.empty(), end)));
+      } else if (!store.versions.isEmpty()
+          && (from.era() != store.era || store.versions.size() > from.offset())) {
         int newest = store.versions.size() - 1;
+        CatalogPosition position = new CatalogPosition(store.era, newest);
         byte[] content = store.versions.get(newest).getBytes(StandardCharsets.UTF_8);
         pendingResults.add(
             () ->
                 read.complete(
                     new SettingsReadResult.Read(
-                        Optional.of(new SettingsDocument(newest, content)), newest + 1)));
+                        Optional.of(new SettingsDocument(position, content)), position.next())));
       } else {
         longPolls.add(() -> completeSettings(read, from, waitMs - STEP_MS));
       }
@@ -189,7 +217,7 @@
     }
 
     @Override
-    public CompletionStage<TargetsReadResult> readTargets(long from) {
+    public CompletionStage<TargetsReadResult> readTargets(CatalogPosition from) {
       store.targetReads++;
       CompletableFuture<TargetsReadResult> read = new CompletableFuture<>();
       if (isUnanswered()) {
@@ -197,7 +225,7 @@
       } else if (fails()) {
         pendingResults.add(() -> read.complete(new TargetsReadResult.Unavailable("rejected")));
       } else {
-        TargetsReadResult result = store.read((int) from);
+        TargetsReadResult result = store.read(from);
         pendingResults.add(() -> read.complete(result));
       }
       return read;
@@ -210,7 +238,8 @@
         pendingResults.add(() -> read.complete(new DirectoryReadResult.Unavailable("rejected")));
       } else {
         List<Member> members = List.copyOf(store.directory.values());
-        pendingResults.add(() -> read.complete(new DirectoryReadResult.Read(members)));
+        long era = store.era;
+        pendingResults.add(() -> read.complete(new DirectoryReadResult.Read(members, era)));
       }
       return read;
     }
@@ -232,7 +261,8 @@
             () -> changed.complete(new DirectoryUpdateResult.OutcomeUnknown("rejected")));
       } else {
         change.run();
-        pendingResults.add(() -> changed.complete(new DirectoryUpdateResult.Acknowledged()));
+        long era = store.era;
+        pendingResults.add(() -> changed.complete(new DirectoryUpdateResult.Acknowledged(era)));
       }
       return changed;
     }
@@ -704,7 +734,7 @@
               new CatalogInput.UpdateReceived(
                   id(1),
                   new CatalogMessages.Update(
-                      1, 1, 2, List.of(CatalogMessages.TargetRecord.of(older)), false)));
+                      1, 1, 2, List.of(CatalogMessages.TargetRecord.of(older)), false, 1, 0)));
       fleet.advance(1_000);
       assertThat(fleet.nodes.getFirst().targets()).containsExactly("a");
     }
@@ -721,7 +751,9 @@
               0,
               store.records.size(),
               List.of(CatalogMessages.TargetRecord.of(store.records.getFirst())),
-              false);
+              false,
+              0,
+              0);
       fleet.forEach(
           node -> node.inbox.add(new CatalogInput.UpdateReceived(id(node.index ^ 1), update)));
       fleet.advance(1_000);
@@ -766,6 +798,114 @@
     }
   }
 
+  /** Guards against instances that keep, or lose, the wrong things after a restore of the store. */
+  @Nested
+  class RestoredStore {
+    private void publishVersionsAndTargets() {
+      store.versions.addAll(List.of("v1", "v2", "v3"));
+      store.publish("a", false, 1);
+      store.publish("b", false, 1);
+      store.publish("c", false, 1);
+      fleet.advance(2_000);
+    }
+
+    @Test
+    void givesNewSettingsAgain() {
+      publishVersionsAndTargets();
+      store.restore(3, 1);
+      fleet.advance(1_000);
+      fleet.forEach(node -> assertThat(node.version).isEqualTo(3));
+      store.versions.add("v4");
+      fleet.advance(1_500);
+      fleet.forEach(node -> assertThat(node.version).isEqualTo(4));
+    }
+
+    @Test
+    void givesNewTargetsAgain() {
+      publishVersionsAndTargets();
+      store.restore(1, 3);
+      store.publish("b", false, 2);
+      store.publish("d", false, 1);
+      fleet.advance(1_500);
+      fleet.forEach(node -> assertThat(node.targets()).containsAtLeast("a", "b", "d"));
+    }
+
+    @Test
+    void leavesTargetsTimeToRegisterAgain() {
+      publishVersionsAndTargets();
+      store.restore(1, 3);
+      fleet.advance(2_000);
+      fleet.forEach(node -> assertThat(node.targets()).containsExactly("a", "b", "c"));
+      store.publish("b", false, 2);
+      fleet.advance(2_000);
+      fleet.forEach(node -> assertThat(node.targets()).containsExactly("a", "b"));
+    }
+
+    @Test
+    void doesNotBringRemovedOrDrainingTargetsBack() {
+      publishVersionsAndTargets();
+      store.remove("a");
+      store.publish("b", true, 2);
+      fleet.advance(1_000);
+      fleet.forEach(node -> assertThat(node.targets()).containsExactly("c"));
+      store.restore(3, 3);
+      store.publish("c", false, 2);
+      for (int i = 0; i < 20; i++) {
+        fleet.advance(200);
+        fleet.forEach(node -> assertThat(node.targets()).containsExactly("c"));
+      }
+      store.publish("a", false, 2);
+      fleet.advance(1_000);
+      fleet.forEach(node -> assertThat(node.targets()).containsExactly("a", "c"));
+    }
+
+    @Test
+    void registersTheInstancesAgain() {
+      fleet.forEach(
+          node ->
+              node.inbox.add(
+                  new CatalogInput.FleetChanged(
+                      new FleetView(Delegation.NONE, 1, true, Set.of()))));
+      publishVersionsAndTargets();
+      fleet.forEach(
+          node ->
+              node.inbox.add(
+                  new CatalogInput.FleetChanged(
+                      new FleetView(Delegation.NONE, 1, false, Set.of()))));
+      fleet.advance(1_000);
+      assertThat(store.directory).hasSize(INSTANCES);
+      store.restore(3, 3);
+      fleet.advance(2_000);
+      assertThat(store.directory).hasSize(INSTANCES);
+      // A directory without this instance would end its share of the rates.
+      fleet.forEach(node -> assertThat(node.directory.getLast().containsSelf()).isTrue());
+    }
+
+    @Test
+    void mayBeRestoredTwiceInARow() {
+      publishVersionsAndTargets();
+      store.restore(2, 2);
+      store.restore(1, 1);
+      store.publish("b", false, 2);
+      store.publish("c", false, 2);
+      store.versions.add("v5");
+      fleet.advance(4_000);
+      fleet.forEach(node -> assertThat(node.version).isEqualTo(5));
+      fleet.forEach(node -> assertThat(node.targets()).containsExactly("a", "b", "c"));
+    }
+
+    // The store holds an older version than the instances that knew it before.
+    @Test
+    void leavesTheNewestVersionToAnInstanceThatStartsAfterwards() {
+      publishVersionsAndTargets();
+      store.restore(3, 1);
+      fleet.advance(1_000);
+      fleet.restart(0);
+      fleet.advance(2_000);
+      assertThat(fleet.nodes.getFirst().version).isEqualTo(3);
+    }
+  }
+
   @Nested
   class DirectoryOfInstances {
     private final Node node = fleet.nodes.getFirst();
