--- a/systemtest/src/test/java/org/bergamotcross/systemtest/AtMostOnceFaultTest.java
+++ b/systemtest/src/test/java/org/bergamotcross/systemtest/AtMostOnceFaultTest.java
@@ -1,6 +1,7 @@
 package org.bergamotcross.systemtest;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -37,6 +38,20 @@
     fleet.target(1).setWorkTime(time);
   }
 
+  /** Waits until an order runs; fails with the response when it was answered without running. */
+  private void awaitExecution(String key, CompletableFuture<CallerResponse> response)
+      throws Exception {
+    Await.until(
+        key + " runs or is answered",
+        CONDITION_TIMEOUT,
+        () -> fleet.executionCount(key) == 1 || response.isDone());
+    assertWithMessage(
+            "executions of %s, response %s",
+            key, response.thenApply(Object::toString).getNow("none yet"))
+        .that(fleet.executionCount(key))
+        .isEqualTo(1);
+  }
+
   @Nested
   class RetryAtAnotherInstance {
     // Guards against an instance that executes a completed order again instead of asking the
@@ -57,7 +72,7 @@
     void isNotExecutedWhileTheFirstAttemptRuns() throws Exception {
       setWorkTime(Duration.ofSeconds(2));
       CompletableFuture<CallerResponse> first = fleet.postOrder(fleet.entry(0), "order-2");
-      Await.until("the order runs", CONDITION_TIMEOUT, () -> fleet.executionCount("order-2") == 1);
+      awaitExecution("order-2", first);
       CallerResponse retry = ProcessFleet.await(fleet.postOrder(fleet.entry(1), "order-2"));
       assertThat(retry.refusalCode()).isEqualTo("already-claimed");
       assertThat(retry.outcome()).isEqualTo("unknown");
@@ -71,7 +86,7 @@
     void isNotExecutedAfterTheFirstInstanceCrashed() throws Exception {
       setWorkTime(Duration.ofSeconds(1));
       CompletableFuture<CallerResponse> first = fleet.postOrder(fleet.entry(0), "order-3");
-      Await.until("the order runs", CONDITION_TIMEOUT, () -> fleet.executionCount("order-3") == 1);
+      awaitExecution("order-3", first);
       fleet.entry(0).kill();
       assertThat(ProcessFleet.await(first).isOk()).isFalse();
       for (int i = 1; i <= 2; i++) {
