--- a/core/src/main/java/org/bergamotcross/core/config/TargetDirectory.java
+++ b/core/src/main/java/org/bergamotcross/core/config/TargetDirectory.java
@@ -55,7 +55,7 @@
 
     /** Tells whether an entry has no effect because this state is based on a later report. */
     boolean supersedes(TargetChange.Published published) {
-      // After a removal in an earlier era, the report known before it may be a restored one.
+      // The entry that was known before a removal in an earlier era may be restored.
       boolean isRemovedBefore =
           removal.filter(r -> r.era() < published.position().era()).isPresent();
       return lastReport
@@ -90,6 +90,10 @@
    *     superseded record
    */
   public boolean apply(TargetChange targetRecord, ClockReading now) {
+    if (targetRecord instanceof TargetChange.Published
+        && targetRecord.position().era() < listedUntil.era()) {
+      return false;
+    }
     KnownTarget previous = known.get(targetRecord.id());
     if (previous == null && targetRecord.position().isBefore(listedUntil)) {
       // The complete list did not name the target any more.
--- a/core/src/test/java/org/bergamotcross/core/config/TargetDirectoryTest.java
+++ b/core/src/test/java/org/bergamotcross/core/config/TargetDirectoryTest.java
@@ -293,8 +293,11 @@
 
     @Test
     void thatAreEarlierHaveNoEffect() {
+      directory.apply(entry(1, "gone", 3, false, START, 1), NOW);
+      directory.apply(removed(2, "gone", Duration.ZERO), NOW);
       applyRestoredList(restored(1, "a", false, 1));
       directory.apply(entry(90, "b", 2, false, START, 1), NOW);
+      directory.apply(entry(90, "gone", 3, false, START, 2), NOW);
       directory.apply(removed(90, "a", Duration.ZERO), NOW);
       directory.applyComplete(List.of(), at(1, 99), Duration.ZERO, NOW);
       assertThat(usable(NOW)).containsExactly("a");
