--- a/core/src/main/java/org/bergamotcross/core/membership/ReadSchedule.java
+++ b/core/src/main/java/org/bergamotcross/core/membership/ReadSchedule.java
@@ -10,6 +10,7 @@
  * instance reads by itself when it has received no result for the interval plus one delay for each
  * instance ranked before it. A reader that fails, or that is partitioned from some of the
  * instances, is thus replaced within a few delays, by exactly one other reader in each partition.
+ * In a fleet with relays these read first, in the order of the relay plan.
  */
 public final class ReadSchedule {
   /**
@@ -22,6 +23,7 @@
 
   /**
    * Ranks above this add no further delay; by then the first readers can't be expected to succeed.
+   * Where there are relays, one more delay lets an instance that is none read after all of them.
    */
   static final int MAX_DELAYED_RANK = 5;
 
@@ -54,7 +56,7 @@
    * @return the rank, 0 for the first reader
    */
   public int rank(PeerView peers) {
-    return (int) peers.reachable().stream().filter(this::isPreceding).count();
+    return (int) peers.reachable().stream().filter(other -> isPreceding(peers, other)).count();
   }
 
   /**
@@ -94,15 +96,30 @@
   /**
    * Tells whether an instance is ranked before this one.
    *
+   * <p>Relays precede all other instances, since their results reach the fleet with one message
+   * less.
+   *
+   * @param peers the reachable peers and the relays
    * @param other the other instance
    * @return whether it reads before this one
    */
-  public boolean isPreceding(InstanceId other) {
+  public boolean isPreceding(PeerView peers, InstanceId other) {
+    int ownPrecedence = peers.relays().precedence(self);
+    int precedence = peers.relays().precedence(other);
+    if (precedence >= 0) {
+      return ownPrecedence < 0 || precedence < ownPrecedence;
+    }
+    return ownPrecedence < 0 && hasHigherWeight(other);
+  }
+
+  private boolean hasHigherWeight(InstanceId other) {
     return Members.rendezvousWeight(RANKING_KEY, other)
         > Members.rendezvousWeight(RANKING_KEY, self);
   }
 
   private int delayedRank(PeerView peers) {
-    return Math.min(rank(peers), MAX_DELAYED_RANK);
+    boolean readsAfterRelays = !peers.relays().isFullMesh() && !peers.relays().contains(self);
+    int maxDelayedRank = readsAfterRelays ? MAX_DELAYED_RANK + 1 : MAX_DELAYED_RANK;
+    return Math.min(rank(peers), maxDelayedRank);
   }
 }
--- a/core/src/main/java/org/bergamotcross/core/membership/Roster.java
+++ b/core/src/main/java/org/bergamotcross/core/membership/Roster.java
@@ -1,5 +1,6 @@
 package org.bergamotcross.core.membership;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Collection;
 import java.util.Comparator;
@@ -10,6 +11,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.apache.commons.codec.digest.MurmurHash3;
 import org.bergamotcross.kernel.ClockReading;
 
 /**
@@ -65,6 +67,7 @@
   private boolean listedAtFirstRead;
   private boolean selfRegistered;
   private boolean usable;
+  private long digest;
   private Optional<List<Member>> orderedMembers = Optional.empty();
 
   /**
@@ -77,6 +80,7 @@
     this.self = self;
     this.startedAt = now;
     this.lastMajorityAt = now;
+    this.digest = hash(self.id());
   }
 
   /**
@@ -92,6 +96,7 @@
     Entry entry = others.get(member.id());
     if (entry == null) {
       others.put(member.id(), new Entry(member, now));
+      digest += hash(member.id());
       allAcknowledgedAt = Optional.empty();
       orderedMembers = Optional.empty();
     } else if (!entry.member.equals(member)) {
@@ -129,6 +134,18 @@
     Optional.ofNullable(others.get(peer)).ifPresent(entry -> entry.acknowledged = true);
   }
 
+  /**
+   * Records that instances count the local instance, as known from a reachable relay: the digests
+   * of the relay, of these instances and of this one are equal, so that all count the same.
+   *
+   * <p>They need not know this incarnation.
+   *
+   * @param instances the instances
+   */
+  public void recordAcknowledgements(Collection<InstanceId> instances) {
+    instances.forEach(this::recordAcknowledgement);
+  }
+
   /**
    * Records that instances are alive because they answer this instance or a reachable peer.
    *
@@ -229,8 +246,10 @@
    * @param instance the instance
    */
   public void remove(InstanceId instance) {
-    others.remove(instance);
-    orderedMembers = Optional.empty();
+    if (others.remove(instance) != null) {
+      digest -= hash(instance);
+      orderedMembers = Optional.empty();
+    }
   }
 
   /**
@@ -251,6 +270,20 @@
     return others.size() + 1;
   }
 
+  /**
+   * Returns a digest of the ids of all counted instances, including this one. Instances with the
+   * same digest count the same instances, in the same {@link #members} positions.
+   *
+   * @return the digest, which does not depend on the order in which instances were added
+   */
+  public long digest() {
+    return digest;
+  }
+
+  private static long hash(InstanceId instance) {
+    return MurmurHash3.hash128x64(instance.value().getBytes(StandardCharsets.UTF_8))[0];
+  }
+
   /**
    * Tells whether another instance is counted.
    *
--- a/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogDuty.java
+++ b/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogDuty.java
@@ -429,7 +429,7 @@
 
   private void onPeerReadSettings(
       InstanceId from, CatalogMessages.SettingsRead message, ClockReading now) {
-    if (readSchedule.isPreceding(from)) {
+    if (readSchedule.isPreceding(peers, from)) {
       lastPrecedingSettingsReadAt = now;
     }
     if (message.settingsEnd() > knownSettingsEnd()) {
