Keep the bound of rates with acknowledgements through relays

A relay's acknowledgement says that an instance counts the local one, not that it knows the new incarnation and has dropped the leases of the previous one. So a restarted instance that has heard only relays waits until those leases have expired. Departed instances are found only by an instance to which a majority answered for the whole retention, and not while an instance is alive elsewhere that doesn't answer: a majority known through relays does not prove that a partitioned instance was silent to all.

--- a/core/src/main/java/org/bergamotcross/core/membership/Roster.java
+++ b/core/src/main/java/org/bergamotcross/core/membership/Roster.java
@@ -28,11 +28,14 @@
  *   <li>An instance that restarts under the same id is still counted; it reads the directory and
  *       waits until the leases of its previous incarnation have expired.
  *   <li>An instance is no longer counted after it was silent for {@link #RETENTION} towards all
- *       reachable instances, these form a majority, and it was removed from the directory. By then
- *       it has stopped using its share, because the instances that it cannot reach may be that
- *       majority.
+ *       reachable instances, these formed a majority all the time, and it was removed from the
+ *       directory. By then it has stopped using its share, because the instances that it cannot
+ *       reach may be that majority.
  * </ul>
  *
+ * <p>In a fleet with relays an instance has no link to most of the others. It then learns from
+ * relays which instances are alive and which count the same as it does ({@link #digest}).
+ *
  * <p>With n counted instances a share is 1/n, so the shares in use never add up to more than the
  * whole.
  */
@@ -45,10 +48,14 @@
   /** How much earlier an instance stops using its share than the others stop counting it. */
   static final Duration RETENTION_MARGIN = Duration.ofMinutes(5);
 
+  /** Peers report at least each 10 s which instances answer them. */
+  private static final Duration MAX_REPORT_AGE = Duration.ofSeconds(30);
+
   private static final class Entry {
     Member member;
     ClockReading lastAliveAt;
     boolean acknowledged;
+    boolean knowsIncarnation;
     boolean registered;
 
     Entry(Member member, ClockReading seenAt) {
@@ -62,6 +69,7 @@
   private final SuspensionDetector suspensionDetector = new SuspensionDetector();
   private final ClockReading startedAt;
   private ClockReading lastMajorityAt;
+  private ClockReading majorityAnswersSince;
   private Optional<ClockReading> allAcknowledgedAt = Optional.empty();
   private boolean directoryKnown;
   private boolean listedAtFirstRead;
@@ -80,6 +88,7 @@
     this.self = self;
     this.startedAt = now;
     this.lastMajorityAt = now;
+    this.majorityAnswersSince = now;
     this.digest = hash(self.id());
   }
 
@@ -131,19 +140,26 @@
    * @param peer the peer
    */
   public void recordAcknowledgement(InstanceId peer) {
-    Optional.ofNullable(others.get(peer)).ifPresent(entry -> entry.acknowledged = true);
+    Optional.ofNullable(others.get(peer))
+        .ifPresent(
+            entry -> {
+              entry.acknowledged = true;
+              entry.knowsIncarnation = true;
+            });
   }
 
   /**
    * Records that instances count the local instance, as known from a reachable relay: the digests
    * of the relay, of these instances and of this one are equal, so that all count the same.
    *
-   * <p>They need not know this incarnation.
+   * <p>They may not know this incarnation yet, and then still use leases of the previous one.
    *
    * @param instances the instances
    */
   public void recordAcknowledgements(Collection<InstanceId> instances) {
-    instances.forEach(this::recordAcknowledgement);
+    for (InstanceId id : instances) {
+      Optional.ofNullable(others.get(id)).ifPresent(entry -> entry.acknowledged = true);
+    }
   }
 
   /**
@@ -164,7 +180,7 @@
   /**
    * Updates the decision whether the local share may be used.
    *
-   * @param answering the number of peers that answer
+   * @param answering the number of instances known to answer, here or at a reachable relay
    * @param now the current time
    */
   public void update(int answering, ClockReading now) {
@@ -187,7 +203,13 @@
     listedAtFirstRead = false;
     selfRegistered = false;
     allAcknowledgedAt = Optional.empty();
-    others.values().forEach(entry -> entry.acknowledged = false);
+    others
+        .values()
+        .forEach(
+            entry -> {
+              entry.acknowledged = false;
+              entry.knowsIncarnation = false;
+            });
   }
 
   private boolean mayUseShare(ClockReading now) {
@@ -195,11 +217,16 @@
       return false;
     }
     if (listedAtFirstRead) {
-      return allAcknowledgedAt.isPresent() || haveLeasesExpired(startedAt, now);
+      return isIncarnationKnownToAll() || haveLeasesExpired(startedAt, now);
     }
     return selfRegistered && allAcknowledgedAt.filter(at -> haveLeasesExpired(at, now)).isPresent();
   }
 
+  private boolean isIncarnationKnownToAll() {
+    return allAcknowledgedAt.isPresent()
+        && others.values().stream().allMatch(entry -> entry.knowsIncarnation);
+  }
+
   private static boolean haveLeasesExpired(ClockReading since, ClockReading now) {
     return now.since(since).compareTo(DelegationPlan.LEASE_EXPIRY) >= 0;
   }
@@ -226,12 +253,22 @@
   /**
    * Finds the instances whose silence was long enough to remove them from the directory.
    *
-   * @param answering the number of peers that answer
+   * <p>A majority must have answered all the time: any other majority, which lets a partitioned
+   * instance use its share, then has a part in it and has reported that instance. While an instance
+   * that does not answer here is alive elsewhere, it may be the only one that hears a partitioned
+   * instance, so none is found. In a fleet with relays, only these find departed instances, since
+   * no majority answers the others themselves.
+   *
+   * @param answering the number of peers that answer this instance itself; answers at a relay don't
+   *     count
    * @param now the current time
    * @return the instances, which are counted until {@link #remove}; empty when no majority answers
    */
   public Set<InstanceId> findDeparted(int answering, ClockReading now) {
     if (2 * (answering + 1) <= size()) {
+      majorityAnswersSince = now;
+    }
+    if (now.since(majorityAnswersSince).compareTo(RETENTION) <= 0 || answering < countAlive(now)) {
       return Set.of();
     }
     return others.values().stream()
@@ -240,6 +277,12 @@
         .collect(Collectors.toSet());
   }
 
+  private long countAlive(ClockReading now) {
+    return others.values().stream()
+        .filter(entry -> now.since(entry.lastAliveAt).compareTo(MAX_REPORT_AGE) <= 0)
+        .count();
+  }
+
   /**
    * Stops counting an instance that was removed from the directory.
    *
--- a/core/src/test/java/org/bergamotcross/core/membership/ReadScheduleTest.java
+++ b/core/src/test/java/org/bergamotcross/core/membership/ReadScheduleTest.java
@@ -7,6 +7,8 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.bergamotcross.kernel.ClockReading;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -110,4 +112,99 @@
       }
     }
   }
+
+  @Nested
+  class Relays {
+    private static final int FLEET = 40;
+    private static final int RELAYS = 8;
+
+    private final RelayView relays =
+        new RelayView(
+            IntStream.range(0, RELAYS)
+                .mapToObj(i -> new Member(id(3 * i), 1, new FailureDomain("d" + i % 4), "h"))
+                .toList());
+
+    private ReadSchedule schedule(int index) {
+      return new ReadSchedule(id(index));
+    }
+
+    /** Returns the view of an instance in a part of the fleet: relays are linked to all others. */
+    private PeerView view(int self, RelayView selected, Set<Integer> part) {
+      boolean isRelay = selected.contains(id(self));
+      return new PeerView(
+          part.stream()
+              .filter(i -> i != self && (isRelay || selected.contains(id(i))))
+              .map(ReadScheduleTest::id)
+              .collect(Collectors.toSet()),
+          selected);
+    }
+
+    private Set<Integer> firstReaders(RelayView selected, Set<Integer> part) {
+      return part.stream()
+          .filter(i -> schedule(i).rank(view(i, selected, part)) == 0)
+          .collect(Collectors.toSet());
+    }
+
+    private Set<Integer> all() {
+      return IntStream.range(0, FLEET).boxed().collect(Collectors.toSet());
+    }
+
+    // Guards against a read by every instance that sees no others but relays.
+    @Test
+    void haveOneFirstReader() {
+      assertThat(firstReaders(relays, all())).containsExactly(0);
+    }
+
+    // Guards against readers in a fleet cut in two that all wait for one in the other part.
+    @Test
+    void haveOneFirstReaderInEachPart() {
+      Set<Integer> part = all().stream().filter(i -> i >= 10).collect(Collectors.toSet());
+      Set<Integer> rest = all().stream().filter(i -> i < 10).collect(Collectors.toSet());
+      assertThat(firstReaders(relays, part)).containsExactly(12);
+      assertThat(firstReaders(relays, rest)).containsExactly(0);
+    }
+
+    // Guards against 130 small instances that read at once because one relay was late.
+    @Test
+    void readBeforeAllOthers() {
+      ClockReading lastReadAt = ClockReading.ofMillis(10_000);
+      for (int reachable = 1; reachable <= RELAYS; reachable++) {
+        Set<Integer> part =
+            IntStream.range(0, FLEET)
+                .filter(i -> i % 3 != 0)
+                .boxed()
+                .collect(Collectors.toCollection(HashSet::new));
+        IntStream.range(0, reachable).forEach(i -> part.add(3 * i));
+        ClockReading latestRelay = lastReadAt;
+        ClockReading latestPoll = lastReadAt;
+        for (int i = 0; i < reachable; i++) {
+          PeerView view = view(3 * i, relays, part);
+          latestRelay = latest(latestRelay, schedule(3 * i).dueAt(view, lastReadAt));
+          latestPoll = latest(latestPoll, schedule(3 * i).longPollDueAt(view, lastReadAt));
+        }
+        PeerView leafView = view(1, relays, part);
+        assertThat(schedule(1).dueAt(leafView, lastReadAt).isAfter(latestRelay)).isTrue();
+        assertThat(schedule(1).longPollDueAt(leafView, lastReadAt).isAfter(latestPoll)).isTrue();
+        Duration untilPoll = schedule(1).longPollDueAt(leafView, lastReadAt).since(lastReadAt);
+        assertThat(untilPoll).isAtMost(Duration.ofMillis(1_500));
+      }
+    }
+
+    private ClockReading latest(ClockReading one, ClockReading other) {
+      return one.isAfter(other) ? one : other;
+    }
+
+    // Guards against a poll that goes on beside that of a relay, and against one that stops for an
+    // instance that reads later.
+    @Test
+    void precedeAllOthersInTheirOrder() {
+      PeerView leafView = view(1, relays, all());
+      assertThat(schedule(1).isPreceding(leafView, id(21))).isTrue();
+      assertThat(schedule(21).isPreceding(view(21, relays, all()), id(1))).isFalse();
+      assertThat(schedule(3).isPreceding(view(3, relays, all()), id(0))).isTrue();
+      assertThat(schedule(0).isPreceding(view(0, relays, all()), id(3))).isFalse();
+      assertThat(schedule(1).isPreceding(leafView, id(2)))
+          .isEqualTo(schedule(1).isPreceding(PeerView.NONE, id(2)));
+    }
+  }
 }
--- a/core/src/test/java/org/bergamotcross/core/membership/RosterTest.java
+++ b/core/src/test/java/org/bergamotcross/core/membership/RosterTest.java
@@ -3,7 +3,9 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.bergamotcross.kernel.ClockReading;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -149,6 +151,34 @@
       assertThat(isUsable(0, later)).isTrue();
     }
 
+    // Guards against an instance that was frozen for hours, takes its own silence for that of the
+    // others, and removes those whose answers arrive last.
+    @Test
+    void departOnlyWhenAMajorityHeardNothingAllTheTime() {
+      settle();
+      assertThat(roster.findDeparted(0, later)).isEmpty();
+      ClockReading awake = later.plus(Duration.ofSeconds(1));
+      roster.recordAlive(List.of(B.id()), awake);
+      assertThat(roster.findDeparted(1, awake)).isEmpty();
+      ClockReading muchLater = later.plus(Roster.RETENTION).plus(Duration.ofSeconds(2));
+      roster.recordAlive(List.of(B.id()), muchLater);
+      assertThat(roster.findDeparted(1, muchLater)).containsExactly(C.id());
+    }
+
+    // Guards against the removal of an instance that another one still hears, which is cut off
+    // from this one but known to a relay.
+    @Test
+    void remainWhileAnInstanceIsAliveThatDoesNotAnswerHere() {
+      Member d = member("d");
+      Member e = member("e");
+      roster.add(d, LEASES_EXPIRED);
+      roster.add(e, LEASES_EXPIRED);
+      settle();
+      roster.recordAlive(List.of(B.id(), d.id(), e.id()), later);
+      assertThat(roster.findDeparted(2, later)).isEmpty();
+      assertThat(roster.findDeparted(3, later)).containsExactly(C.id());
+    }
+
     // The monotonic clock of a suspended machine does not show how long the others received
     // nothing.
     @Test
@@ -160,4 +190,65 @@
       assertThat(isUsable(0, awake)).isFalse();
     }
   }
+
+  @Nested
+  class Relays {
+    @Test
+    void acknowledgeNewInstancesForOthers() {
+      roster.applyDirectory(List.of(B, C), false, START);
+      roster.recordAcknowledgement(B.id());
+      roster.recordAcknowledgements(List.of(C.id(), member("unknown").id()));
+      roster.update(1, START);
+      assertThat(roster.awaitsRegistration()).isTrue();
+      assertThat(roster.size()).isEqualTo(3);
+    }
+
+    // Guards against a fraction that is used twice: an instance that counts the restarted one, but
+    // does not know its new incarnation, may still use a lease of the previous one.
+    @Test
+    void doNotSpareRestartedInstancesTheWaitForEarlierLeases() {
+      roster.applyDirectory(List.of(B, C), true, START);
+      roster.recordAcknowledgement(B.id());
+      roster.recordAcknowledgements(List.of(C.id()));
+      assertThat(isUsable(2, LEASES_EXPIRED.plus(Duration.ofMillis(-1)))).isFalse();
+      assertThat(isUsable(2, LEASES_EXPIRED)).isTrue();
+    }
+  }
+
+  @Nested
+  class Digests {
+    // Guards against positions in the list of members that mean different instances to two
+    // instances with the same digest.
+    @Test
+    void areEqualForTheSameInstancesInAnyOrder() {
+      Roster other = new Roster(B, START);
+      roster.add(B, START);
+      roster.add(C, START);
+      other.applyDirectory(List.of(C, SELF), false, START);
+      assertThat(roster.digest()).isEqualTo(other.digest());
+      assertThat(roster.members()).isEqualTo(other.members());
+    }
+
+    @Test
+    void changeWithEachInstance() {
+      Set<Long> digests = new HashSet<>();
+      digests.add(roster.digest());
+      for (int i = 0; i < 300; i++) {
+        roster.add(member("entry-" + i), START);
+        roster.add(member("entry-" + i), START);
+        digests.add(roster.digest());
+      }
+      assertThat(digests).hasSize(301);
+    }
+
+    @Test
+    void returnWhenAnInstanceIsRemoved() {
+      roster.add(B, START);
+      long before = roster.digest();
+      roster.add(C, START);
+      roster.remove(C.id());
+      roster.remove(C.id());
+      assertThat(roster.digest()).isEqualTo(before);
+    }
+  }
 }
