Count two hours of silence again while an instance is alive elsewhere

An instance that is alive but does not answer here may be the only one that hears a partitioned instance, at any time of the two hours and not just at their end.

--- a/core/src/main/java/org/bergamotcross/core/membership/Roster.java
+++ b/core/src/main/java/org/bergamotcross/core/membership/Roster.java
@@ -48,12 +48,17 @@
   /** How much earlier an instance stops using its share than the others stop counting it. */
   static final Duration RETENTION_MARGIN = Duration.ofMinutes(5);
 
-  /** Peers report at least each 10 s which instances answer them. */
+  /**
+   * Reports of an instance that has just died go on for less than this: peers report at least each
+   * 10 s which instances answer them, and an answer counts for 3.5 s.
+   */
   private static final Duration MAX_REPORT_AGE = Duration.ofSeconds(30);
 
   private static final class Entry {
     Member member;
     ClockReading lastAliveAt;
+    ClockReading lastAnsweredAt;
+    boolean answeredSinceUpdate;
     boolean acknowledged;
     boolean knowsIncarnation;
     boolean registered;
@@ -61,6 +66,7 @@
     Entry(Member member, ClockReading seenAt) {
       this.member = member;
       this.lastAliveAt = seenAt;
+      this.lastAnsweredAt = seenAt;
     }
   }
 
@@ -135,7 +141,7 @@
   }
 
   /**
-   * Records that a peer counts this incarnation of the local instance.
+   * Records that a peer has answered, and thus counts this incarnation of the local instance.
    *
    * @param peer the peer
    */
@@ -145,6 +151,7 @@
             entry -> {
               entry.acknowledged = true;
               entry.knowsIncarnation = true;
+              entry.answeredSinceUpdate = true;
             });
   }
 
@@ -184,6 +191,12 @@
    * @param now the current time
    */
   public void update(int answering, ClockReading now) {
+    for (Entry entry : others.values()) {
+      if (entry.answeredSinceUpdate) {
+        entry.answeredSinceUpdate = false;
+        entry.lastAnsweredAt = now;
+      }
+    }
     lastMajorityAt = lastMajorityAt.plus(suspensionDetector.detectPause(now).negated());
     if (2 * (answering + 1) >= size()) {
       lastMajorityAt = now;
@@ -254,10 +267,10 @@
    * Finds the instances whose silence was long enough to remove them from the directory.
    *
    * <p>A majority must have answered all the time: any other majority, which lets a partitioned
-   * instance use its share, then has a part in it and has reported that instance. While an instance
-   * that does not answer here is alive elsewhere, it may be the only one that hears a partitioned
-   * instance, so none is found. In a fleet with relays, only these find departed instances, since
-   * no majority answers the others themselves.
+   * instance use its share, then has a part in it and has reported that instance. As long as an
+   * instance that does not answer here is alive elsewhere, it may be the only one that hears a
+   * partitioned instance, so that time does not count. In a fleet with relays, only these find
+   * departed instances, since no majority answers the others themselves.
    *
    * @param answering the number of peers that answer this instance itself; answers at a relay don't
    *     count
@@ -265,10 +278,11 @@
    * @return the instances, which are counted until {@link #remove}; empty when no majority answers
    */
   public Set<InstanceId> findDeparted(int answering, ClockReading now) {
-    if (2 * (answering + 1) <= size()) {
+    boolean hearsMajority = 2 * (answering + 1) > size();
+    if (!hearsMajority || others.values().stream().anyMatch(e -> isAliveElsewhere(e, now))) {
       majorityAnswersSince = now;
     }
-    if (now.since(majorityAnswersSince).compareTo(RETENTION) <= 0 || answering < countAlive(now)) {
+    if (now.since(majorityAnswersSince).compareTo(RETENTION) <= 0) {
       return Set.of();
     }
     return others.values().stream()
@@ -277,10 +291,9 @@
         .collect(Collectors.toSet());
   }
 
-  private long countAlive(ClockReading now) {
-    return others.values().stream()
-        .filter(entry -> now.since(entry.lastAliveAt).compareTo(MAX_REPORT_AGE) <= 0)
-        .count();
+  private static boolean isAliveElsewhere(Entry entry, ClockReading now) {
+    return now.since(entry.lastAliveAt).compareTo(MAX_REPORT_AGE) <= 0
+        && entry.lastAliveAt.since(entry.lastAnsweredAt).compareTo(MAX_REPORT_AGE) > 0;
   }
 
   /**
