--- a/core/src/test/java/org/bergamotcross/core/membership/SimulatedRelayFleet.java
+++ b/core/src/test/java/org/bergamotcross/core/membership/SimulatedRelayFleet.java
@@ -1,11 +1,9 @@
 package org.bergamotcross.core.membership;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Comparator;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -37,7 +35,6 @@
   private static final int TICK_MS = 250;
   private static final int HEARTBEAT_MS = 1_000;
   private static final int LIST_INTERVAL_MS = 500;
-  private static final Duration MAX_ECHO_AGE = Duration.ofMillis(3_500);
   private static final Duration PASSED_OVER = Duration.ofSeconds(60);
 
   private sealed interface Message {}
@@ -60,8 +57,6 @@
 
   private record Delivery(int at, long order, int to, long toIncarnation, Message message) {}
 
-  private record Sent(long sequence, long planVersion, ClockReading at) {}
-
   private record Lease(Delegation delegation, ClockReading until) {}
 
   private final List<Node> nodes = new ArrayList<>();
@@ -95,43 +90,6 @@
     return ClockReading.ofMillis(millis);
   }
 
-  /** What an instance knows of one other. */
-  private static final class Link {
-    private Member member;
-    private ClockReading lastHeardAt;
-    private Optional<ClockReading> triedSince = Optional.empty();
-    private Optional<ClockReading> echoedSentAt = Optional.empty();
-    private Optional<ClockReading> wantedAt = Optional.empty();
-    private long confirmedVersion;
-    private long receivedSequence;
-    private long sentSequence;
-    private long digest;
-    private int nextListAt;
-    private Set<InstanceId> reported = Set.of();
-    private final Deque<Sent> sent = new ArrayDeque<>();
-
-    Link(Member member, ClockReading now) {
-      this.member = member;
-      this.lastHeardAt = now;
-    }
-
-    void restart(Member restarted) {
-      member = restarted;
-      echoedSentAt = Optional.empty();
-      receivedSequence = 0;
-      digest = 0;
-      reported = Set.of();
-    }
-
-    boolean isAnswered(ClockReading now) {
-      return echoedSentAt.filter(at -> now.since(at).compareTo(MAX_ECHO_AGE) <= 0).isPresent();
-    }
-
-    boolean isSubscriber(ClockReading now) {
-      return wantedAt.filter(at -> now.since(at).compareTo(MAX_ECHO_AGE) <= 0).isPresent();
-    }
-  }
-
   /** A machine, whose process is replaced by a new incarnation when it starts again. */
   private final class Node {
     private final int index;
@@ -148,7 +106,7 @@
     private RelayView relays;
     private RelayView preferred;
     private Delegation delegation;
-    private Map<InstanceId, Link> links;
+    private Map<InstanceId, SimulatedLink> links;
     private Map<InstanceId, Lease> leases;
 
     Node(int index) {
@@ -200,7 +158,8 @@
       relays = selectRelays(relayPlan, this::isEligible);
       preferred = selectRelays(preferredPlan, id -> true);
       tryRelays();
-      List<Link> answered = links.values().stream().filter(l -> l.isAnswered(now())).toList();
+      List<SimulatedLink> answered =
+          links.values().stream().filter(l -> l.isAnswered(now())).toList();
       Set<InstanceId> alive = new HashSet<>();
       answered.forEach(link -> alive.add(link.member.id()));
       answered.forEach(link -> alive.addAll(link.reported));
@@ -228,14 +187,16 @@
 
     /** Passes over instances that were tried without an answer. */
     private boolean isEligible(InstanceId id) {
-      Link link = links.get(id);
+      SimulatedLink link = links.get(id);
       return link == null
           || link.isAnswered(now())
-          || link.triedSince.filter(at -> now().since(at).compareTo(MAX_ECHO_AGE) > 0).isEmpty();
+          || link.triedSince
+              .filter(at -> now().since(at).compareTo(SimulatedLink.MAX_ECHO_AGE) > 0)
+              .isEmpty();
     }
 
     private void tryRelays() {
-      for (Link link : links.values()) {
+      for (SimulatedLink link : links.values()) {
         InstanceId id = link.member.id();
         if (wantsLink(id)) {
           link.triedSince = link.triedSince.or(() -> Optional.of(now()));
@@ -246,7 +207,7 @@
       }
     }
 
-    private List<Member> holderCandidates(List<Link> answered) {
+    private List<Member> holderCandidates(List<SimulatedLink> answered) {
       List<Member> candidates =
           answered.stream()
               .map(link -> link.member)
@@ -284,8 +245,8 @@
     }
 
     private void sendHeartbeat(Member to) {
-      Link link = links.computeIfAbsent(to.id(), id -> new Link(to, now()));
-      link.sent.addLast(new Sent(++link.sentSequence, plan.version(), now()));
+      SimulatedLink link = links.computeIfAbsent(to.id(), id -> new SimulatedLink(to, now()));
+      link.sent.addLast(new SimulatedLink.Sent(++link.sentSequence, plan.version(), now()));
       if (link.sent.size() > 32) {
         link.sent.removeFirst();
       }
@@ -314,11 +275,11 @@
                   positions(l -> l.isAnswered(now()) && l.digest == roster.digest())));
     }
 
-    private BitSet positions(Predicate<Link> isIncluded) {
+    private BitSet positions(Predicate<SimulatedLink> isIncluded) {
       BitSet positions = new BitSet();
       List<Member> members = roster.members();
       for (int i = 0; i < members.size(); i++) {
-        Link link = links.get(members.get(i).id());
+        SimulatedLink link = links.get(members.get(i).id());
         positions.set(i, link != null && isIncluded.test(link));
       }
       return positions;
@@ -341,7 +302,8 @@
 
     private void handleHeartbeat(Heartbeat heartbeat) {
       Member sender = heartbeat.sender();
-      Link link = links.computeIfAbsent(sender.id(), id -> new Link(sender, now()));
+      SimulatedLink link =
+          links.computeIfAbsent(sender.id(), id -> new SimulatedLink(sender, now()));
       if (sender.incarnation() < link.member.incarnation()) {
         return;
       }
@@ -367,7 +329,7 @@
       }
     }
 
-    private void sendPeerList(Link link) {
+    private void sendPeerList(SimulatedLink link) {
       if (millis >= link.nextListAt) {
         link.nextListAt = millis + LIST_INTERVAL_MS;
         InstanceId id = link.member.id();
@@ -377,7 +339,7 @@
       }
     }
 
-    private void recordEcho(Link link, Heartbeat heartbeat, boolean isSameRoster) {
+    private void recordEcho(SimulatedLink link, Heartbeat heartbeat, boolean isSameRoster) {
       link.sent.stream()
           .filter(sent -> sent.sequence() == heartbeat.echoSequence())
           .findFirst()
@@ -398,7 +360,7 @@
               });
     }
 
-    private void apply(RelayReport report, Link link) {
+    private void apply(RelayReport report, SimulatedLink link) {
       link.reported = ids(report.answering());
       roster.recordAlive(link.reported, now());
       roster.recordAcknowledgements(ids(report.agreeing()));
