--- a/core/src/main/java/org/bergamotcross/core/membership/Roster.java
+++ b/core/src/main/java/org/bergamotcross/core/membership/Roster.java
@@ -1,5 +1,6 @@
 package org.bergamotcross.core.membership;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Collection;
 import java.util.Comparator;
@@ -10,6 +11,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.apache.commons.codec.digest.MurmurHash3;
 import org.bergamotcross.kernel.ClockReading;
 
 /**
@@ -26,11 +28,14 @@
  *   <li>An instance that restarts under the same id is still counted; it reads the directory and
  *       waits until the leases of its previous incarnation have expired.
  *   <li>An instance is no longer counted after it was silent for {@link #RETENTION} towards all
- *       reachable instances, these form a majority, and it was removed from the directory. By then
- *       it has stopped using its share, because the instances that it cannot reach may be that
- *       majority.
+ *       reachable instances, these formed a majority all the time, and it was removed from the
+ *       directory. By then it has stopped using its share, because the instances that it cannot
+ *       reach may be that majority.
  * </ul>
  *
+ * <p>In a fleet with relays an instance has no link to most of the others. It then learns from
+ * relays which instances are alive and which count the same as it does ({@link #digest}).
+ *
  * <p>With n counted instances a share is 1/n, so the shares in use never add up to more than the
  * whole.
  */
@@ -43,15 +48,25 @@
   /** How much earlier an instance stops using its share than the others stop counting it. */
   static final Duration RETENTION_MARGIN = Duration.ofMinutes(5);
 
+  /**
+   * Reports of an instance that has just died go on for less than this: peers report at least each
+   * 10 s which instances answer them, and an answer counts for 3.5 s.
+   */
+  private static final Duration MAX_REPORT_AGE = Duration.ofSeconds(30);
+
   private static final class Entry {
     Member member;
     ClockReading lastAliveAt;
+    ClockReading lastAnsweredAt;
+    boolean answeredSinceUpdate;
     boolean acknowledged;
+    boolean knowsIncarnation;
     boolean registered;
 
     Entry(Member member, ClockReading seenAt) {
       this.member = member;
       this.lastAliveAt = seenAt;
+      this.lastAnsweredAt = seenAt;
     }
   }
 
@@ -60,11 +75,13 @@
   private final SuspensionDetector suspensionDetector = new SuspensionDetector();
   private final ClockReading startedAt;
   private ClockReading lastMajorityAt;
+  private ClockReading majorityAnswersSince;
   private Optional<ClockReading> allAcknowledgedAt = Optional.empty();
   private boolean directoryKnown;
   private boolean listedAtFirstRead;
   private boolean selfRegistered;
   private boolean usable;
+  private long digest;
   private Optional<List<Member>> orderedMembers = Optional.empty();
 
   /**
@@ -77,6 +94,8 @@
     this.self = self;
     this.startedAt = now;
     this.lastMajorityAt = now;
+    this.majorityAnswersSince = now;
+    this.digest = hash(self.id());
   }
 
   /**
@@ -92,6 +111,7 @@
     Entry entry = others.get(member.id());
     if (entry == null) {
       others.put(member.id(), new Entry(member, now));
+      digest += hash(member.id());
       allAcknowledgedAt = Optional.empty();
       orderedMembers = Optional.empty();
     } else if (!entry.member.equals(member)) {
@@ -121,12 +141,32 @@
   }
 
   /**
-   * Records that a peer counts this incarnation of the local instance.
+   * Records that a peer has answered, and thus counts this incarnation of the local instance.
    *
    * @param peer the peer
    */
   public void recordAcknowledgement(InstanceId peer) {
-    Optional.ofNullable(others.get(peer)).ifPresent(entry -> entry.acknowledged = true);
+    Optional.ofNullable(others.get(peer))
+        .ifPresent(
+            entry -> {
+              entry.acknowledged = true;
+              entry.knowsIncarnation = true;
+              entry.answeredSinceUpdate = true;
+            });
+  }
+
+  /**
+   * Records that instances count the local instance, as known from a reachable relay: the digests
+   * of the relay, of these instances and of this one are equal, so that all count the same.
+   *
+   * <p>They may not know this incarnation yet, and then still use leases of the previous one.
+   *
+   * @param instances the instances
+   */
+  public void recordAcknowledgements(Collection<InstanceId> instances) {
+    for (InstanceId id : instances) {
+      Optional.ofNullable(others.get(id)).ifPresent(entry -> entry.acknowledged = true);
+    }
   }
 
   /**
@@ -147,10 +187,16 @@
   /**
    * Updates the decision whether the local share may be used.
    *
-   * @param answering the number of peers that answer
+   * @param answering the number of instances known to answer, here or at a reachable relay
    * @param now the current time
    */
   public void update(int answering, ClockReading now) {
+    for (Entry entry : others.values()) {
+      if (entry.answeredSinceUpdate) {
+        entry.answeredSinceUpdate = false;
+        entry.lastAnsweredAt = now;
+      }
+    }
     lastMajorityAt = lastMajorityAt.plus(suspensionDetector.detectPause(now).negated());
     if (2 * (answering + 1) >= size()) {
       lastMajorityAt = now;
@@ -170,7 +216,13 @@
     listedAtFirstRead = false;
     selfRegistered = false;
     allAcknowledgedAt = Optional.empty();
-    others.values().forEach(entry -> entry.acknowledged = false);
+    others
+        .values()
+        .forEach(
+            entry -> {
+              entry.acknowledged = false;
+              entry.knowsIncarnation = false;
+            });
   }
 
   private boolean mayUseShare(ClockReading now) {
@@ -178,11 +230,16 @@
       return false;
     }
     if (listedAtFirstRead) {
-      return allAcknowledgedAt.isPresent() || haveLeasesExpired(startedAt, now);
+      return isIncarnationKnownToAll() || haveLeasesExpired(startedAt, now);
     }
     return selfRegistered && allAcknowledgedAt.filter(at -> haveLeasesExpired(at, now)).isPresent();
   }
 
+  private boolean isIncarnationKnownToAll() {
+    return allAcknowledgedAt.isPresent()
+        && others.values().stream().allMatch(entry -> entry.knowsIncarnation);
+  }
+
   private static boolean haveLeasesExpired(ClockReading since, ClockReading now) {
     return now.since(since).compareTo(DelegationPlan.LEASE_EXPIRY) >= 0;
   }
@@ -209,12 +266,23 @@
   /**
    * Finds the instances whose silence was long enough to remove them from the directory.
    *
-   * @param answering the number of peers that answer
+   * <p>A majority must have answered all the time: any other majority, which lets a partitioned
+   * instance use its share, then has a part in it and has reported that instance. As long as an
+   * instance that does not answer here is alive elsewhere, it may be the only one that hears a
+   * partitioned instance, so that time does not count. In a fleet with relays, only these find
+   * departed instances, since no majority answers the others themselves.
+   *
+   * @param answering the number of peers that answer this instance itself; answers at a relay don't
+   *     count
    * @param now the current time
    * @return the instances, which are counted until {@link #remove}; empty when no majority answers
    */
   public Set<InstanceId> findDeparted(int answering, ClockReading now) {
-    if (2 * (answering + 1) <= size()) {
+    boolean hearsMajority = 2 * (answering + 1) > size();
+    if (!hearsMajority || others.values().stream().anyMatch(e -> isAliveElsewhere(e, now))) {
+      majorityAnswersSince = now;
+    }
+    if (now.since(majorityAnswersSince).compareTo(RETENTION) <= 0) {
       return Set.of();
     }
     return others.values().stream()
@@ -223,14 +291,21 @@
         .collect(Collectors.toSet());
   }
 
+  private static boolean isAliveElsewhere(Entry entry, ClockReading now) {
+    return now.since(entry.lastAliveAt).compareTo(MAX_REPORT_AGE) <= 0
+        && entry.lastAliveAt.since(entry.lastAnsweredAt).compareTo(MAX_REPORT_AGE) > 0;
+  }
+
   /**
    * Stops counting an instance that was removed from the directory.
    *
    * @param instance the instance
    */
   public void remove(InstanceId instance) {
-    others.remove(instance);
-    orderedMembers = Optional.empty();
+    if (others.remove(instance) != null) {
+      digest -= hash(instance);
+      orderedMembers = Optional.empty();
+    }
   }
 
   /**
@@ -251,6 +326,20 @@
     return others.size() + 1;
   }
 
+  /**
+   * Returns a digest of the ids of all counted instances, including this one. Instances with the
+   * same digest count the same instances, in the same {@link #members} positions.
+   *
+   * @return the digest, which does not depend on the order in which instances were added
+   */
+  public long digest() {
+    return digest;
+  }
+
+  private static long hash(InstanceId instance) {
+    return MurmurHash3.hash128x64(instance.value().getBytes(StandardCharsets.UTF_8))[0];
+  }
+
   /**
    * Tells whether another instance is counted.
    *
--- a/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogDuty.java
+++ b/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogDuty.java
@@ -224,7 +224,7 @@
   private void onPeerReadSettings(
       InstanceId from, CatalogMessages.SettingsRead message, ClockReading now) {
     recordPeerEra(message.era(), from, now);
-    if (readSchedule.isPreceding(from)) {
+    if (readSchedule.isPreceding(peers, from)) {
       settings.recordPrecedingRead(now);
     }
     if (settings.isBehind(message.settingsVersion(), message.settingsEnd())) {
