--- a/core/src/test/java/org/bergamotcross/core/config/TargetDirectoryTest.java
+++ b/core/src/test/java/org/bergamotcross/core/config/TargetDirectoryTest.java
@@ -24,7 +24,7 @@
   private static TargetChange entry(
       long offset, String id, int port, boolean draining, long start, long sequence) {
     return new TargetChange.Published(
-        offset,
+        at(1, offset),
         new TargetEntry(
             new Target(new TargetId(id), "10.0.0.1", port, new FailureDomain("a")),
             POOL,
@@ -34,8 +34,12 @@
             sequence));
   }
 
+  private static CatalogPosition at(long era, long offset) {
+    return new CatalogPosition(era, offset);
+  }
+
   private static TargetChange removed(long offset, String id, Duration gracePeriod) {
-    return new TargetChange.Removed(offset, new TargetId(id), gracePeriod);
+    return new TargetChange.Removed(at(1, offset), new TargetId(id), gracePeriod);
   }
 
   private List<String> usable(ClockReading now) {
@@ -130,7 +134,7 @@
       directory.apply(entry(2, "gone", 2, false, START, 1), NOW);
       assertThat(
               directory.applyComplete(
-                  List.of(entry(1, "a", 1, false, START, 1)), 4, Duration.ZERO, NOW))
+                  List.of(entry(1, "a", 1, false, START, 1)), at(1, 4), Duration.ZERO, NOW))
           .containsExactly(new TargetId("gone"));
       assertThat(usable(NOW)).containsExactly("a");
     }
@@ -139,7 +143,7 @@
     @Test
     void keepsTargetsThatWerePublishedAfterItsEnd() {
       directory.apply(entry(4, "later", 1, false, START, 1), NOW);
-      assertThat(directory.applyComplete(List.of(), 4, Duration.ZERO, NOW)).isEmpty();
+      assertThat(directory.applyComplete(List.of(), at(1, 4), Duration.ZERO, NOW)).isEmpty();
       assertThat(usable(NOW)).containsExactly("later");
     }
 
@@ -147,7 +151,7 @@
     @Test
     void doesNotHideALaterRegistration() {
       directory.apply(entry(3, "a", 1, false, START, 1), NOW);
-      directory.applyComplete(List.of(), 4, Duration.ZERO, NOW);
+      directory.applyComplete(List.of(), at(1, 4), Duration.ZERO, NOW);
       directory.apply(entry(5, "a", 1, false, START + 1, 0), NOW);
       assertThat(usable(NOW)).containsExactly("a");
     }
@@ -155,7 +159,7 @@
     @Test
     void leavesAGracePeriod() {
       directory.apply(entry(1, "a", 1, false, START, 1), NOW);
-      directory.applyComplete(List.of(), 4, Duration.ofSeconds(2), NOW);
+      directory.applyComplete(List.of(), at(1, 4), Duration.ofSeconds(2), NOW);
       assertThat(usable(NOW)).containsExactly("a");
       assertThat(usable(NOW.plus(Duration.ofSeconds(2)))).isEmpty();
     }
@@ -163,7 +167,7 @@
     // Guards against a removed target that comes back through a record sent by a slow peer.
     @Test
     void isNotExtendedByOlderRecords() {
-      directory.applyComplete(List.of(), 4, Duration.ZERO, NOW);
+      directory.applyComplete(List.of(), at(1, 4), Duration.ZERO, NOW);
       assertThat(directory.apply(entry(3, "gone", 1, false, START, 1), NOW)).isFalse();
       assertThat(usable(NOW)).isEmpty();
       assertThat(directory.apply(entry(4, "a", 1, false, START, 1), NOW)).isTrue();
@@ -203,4 +207,108 @@
           .containsExactly("a");
     }
   }
+
+  /** Guards against restored entries that undo what the directory knows, or hide what is new. */
+  @Nested
+  class Eras {
+    private TargetChange restored(long offset, String id, boolean draining, long sequence) {
+      TargetChange.Published entry =
+          (TargetChange.Published) entry(offset, id, 1, draining, START, sequence);
+      return new TargetChange.Published(at(2, offset), entry.entry());
+    }
+
+    private void applyRestoredList(TargetChange... records) {
+      directory.applyComplete(List.of(records), at(2, 3), Duration.ofSeconds(2), NOW);
+    }
+
+    @Test
+    void replaceHigherOffsets() {
+      directory.apply(entry(90, "a", 1, false, START, 9), NOW);
+      applyRestoredList(restored(1, "a", false, 8));
+      directory.apply(restored(4, "a", true, 10), NOW);
+      assertThat(usable(NOW)).isEmpty();
+    }
+
+    @Test
+    void doNotBringARemovedTargetBackByItsLastReport() {
+      directory.apply(entry(1, "a", 1, false, START, 9), NOW);
+      directory.apply(removed(2, "a", Duration.ZERO), NOW);
+      applyRestoredList(restored(1, "a", false, 9));
+      directory.apply(restored(4, "a", false, 9), NOW);
+      assertThat(usable(NOW)).isEmpty();
+      assertThat(directory.apply(restored(5, "a", false, 10), NOW)).isTrue();
+      assertThat(usable(NOW)).containsExactly("a");
+    }
+
+    // The instance that passes the removal on has received more reports than the others.
+    @Test
+    void doNotBringATargetBackAfterAPeersRemoval() {
+      directory.apply(entry(1, "a", 1, false, START, 9), NOW);
+      TargetDirectory peer = new TargetDirectory();
+      peer.apply(entry(1, "a", 1, false, START, 1), NOW);
+      peer.apply(
+          directory.withLastReport((TargetChange.Removed) removed(5, "a", Duration.ZERO)), NOW);
+      peer.applyComplete(List.of(restored(1, "a", false, 8)), at(2, 3), Duration.ZERO, NOW);
+      assertThat(peer.usableTargets(NOW)).isEmpty();
+    }
+
+    @Test
+    void doNotEndADrain() {
+      directory.apply(entry(1, "a", 1, true, START, 9), NOW);
+      applyRestoredList(restored(0, "a", false, 8));
+      assertThat(usable(NOW)).isEmpty();
+    }
+
+    @Test
+    void leaveMissingTargetsTheirGracePeriod() {
+      directory.apply(entry(90, "a", 1, false, START, 9), NOW);
+      applyRestoredList();
+      assertThat(usable(NOW.plus(Duration.ofMillis(1_999)))).containsExactly("a");
+      assertThat(usable(NOW.plus(Duration.ofSeconds(2)))).isEmpty();
+      directory.apply(restored(4, "a", false, 10), NOW);
+      assertThat(usable(NOW.plus(Duration.ofSeconds(2)))).containsExactly("a");
+    }
+
+    // Guards against a removal that is read again and gives a target that is long gone a grace
+    // period.
+    @Test
+    void doNotGiveARemovedTargetAnotherGracePeriod() {
+      directory.apply(entry(1, "a", 1, false, START, 9), NOW);
+      directory.apply(removed(2, "a", Duration.ZERO), NOW);
+      directory.apply(
+          new TargetChange.Removed(at(2, 2), new TargetId("a"), Duration.ofSeconds(2)), NOW);
+      assertThat(usable(NOW)).isEmpty();
+    }
+
+    // Found by StoreRestoreModelTest: an instance that started after the restore used a target
+    // whose removal no peer passed on, because they all knew it from before.
+    @Test
+    void passOnARemovalThatIsKnownFromAnEarlierOne() {
+      directory.apply(entry(1, "a", 1, false, START, 9), NOW);
+      directory.apply(removed(2, "a", Duration.ZERO), NOW);
+      applyRestoredList(restored(1, "a", false, 9));
+      TargetChange again = new TargetChange.Removed(at(2, 4), new TargetId("a"), Duration.ZERO);
+      assertThat(directory.apply(again, NOW)).isTrue();
+    }
+
+    @Test
+    void thatAreEarlierHaveNoEffect() {
+      directory.apply(entry(1, "gone", 3, false, START, 1), NOW);
+      directory.apply(removed(2, "gone", Duration.ZERO), NOW);
+      applyRestoredList(restored(1, "a", false, 1));
+      directory.apply(entry(90, "b", 2, false, START, 1), NOW);
+      directory.apply(entry(90, "gone", 3, false, START, 2), NOW);
+      directory.apply(removed(90, "a", Duration.ZERO), NOW);
+      directory.applyComplete(List.of(), at(1, 99), Duration.ZERO, NOW);
+      assertThat(usable(NOW)).containsExactly("a");
+    }
+
+    // Other instances may have ignored the restored entry, and know of no later one.
+    @Test
+    void passOnTheFirstReportAfterTheList() {
+      applyRestoredList(restored(1, "a", false, 1));
+      assertThat(directory.apply(restored(4, "a", false, 2), NOW)).isTrue();
+      assertThat(directory.apply(restored(5, "a", false, 3), NOW)).isFalse();
+    }
+  }
 }
