Refuse the least urgent priorities fleet-wide while a pool has too little room

Instances before small pools see a request of a pool every second, so the queue of one instance says nothing about the pool. [scheduling] policy = fair lets all instances compute the same share of each priority from sums of demand, responses, waits and rejections (PoolRoom, PoolPressure, ShedPolicy, UsualDuration). Sums travel in an optional field of OutcomeMessage and are merged by adding. The default, deadline, behaves as before.

--- a/core/src/main/java/org/bergamotcross/core/admission/Refusal.java
+++ b/core/src/main/java/org/bergamotcross/core/admission/Refusal.java
@@ -31,6 +31,7 @@
       case Overloaded ignored -> "overloaded";
       case NoTarget ignored -> "no-target";
       case TargetsPaused ignored -> "targets-paused";
+      case PoolFull ignored -> "pool-full";
       case Stopping ignored -> "stopping";
       case NotReady ignored -> "not-ready";
       case StaleConfiguration ignored -> "stale-configuration";
@@ -137,6 +138,14 @@
    */
   record TargetsPaused(String pool, Duration retryAfter) implements Refusal {}
 
+  /**
+   * The pool has too little room for all requests of this priority.
+   *
+   * @param pool the pool
+   * @param retryAfter when the caller may come back
+   */
+  record PoolFull(String pool, Duration retryAfter) implements Refusal {}
+
   /** The instance is stopping. */
   record Stopping() implements Refusal {}
 
--- a/core/src/main/java/org/bergamotcross/core/config/Route.java
+++ b/core/src/main/java/org/bergamotcross/core/config/Route.java
@@ -39,13 +39,27 @@
    * @param timeout the maximum duration of a request, even if the caller allows more
    * @param maxAttempts the maximum number of targets to which one request is sent, at least 1
    * @param priority the priority among the requests of a pool; 0 is served first
+   * @param latencyObjective the time within which callers want their response, from their first
+   *     attempt; empty when the settings specify none
    */
-  public record Limits(Duration timeout, int maxAttempts, int priority) {
+  public record Limits(
+      Duration timeout, int maxAttempts, int priority, Optional<Duration> latencyObjective) {
     /** The maximum number of attempts when the settings specify none. */
     public static final int DEFAULT_ATTEMPTS = 4;
 
     /** The priority when the settings specify none. */
     public static final int DEFAULT_PRIORITY = 1;
+
+    /**
+     * Creates limits without a latency objective.
+     *
+     * @param timeout the maximum duration of a request, even if the caller allows more
+     * @param maxAttempts the maximum number of targets to which one request is sent, at least 1
+     * @param priority the priority among the requests of a pool; 0 is served first
+     */
+    public Limits(Duration timeout, int maxAttempts, int priority) {
+      this(timeout, maxAttempts, priority, Optional.empty());
+    }
   }
 
   public Route {
--- a/core/src/main/java/org/bergamotcross/core/routing/FailureRisk.java
+++ b/core/src/main/java/org/bergamotcross/core/routing/FailureRisk.java
@@ -31,6 +31,33 @@
     HIGH
   }
 
+  /**
+   * What is assumed about failing targets.
+   *
+   * @param prior the prior probability of the failing state
+   * @param failureRateWhenFailing the share of requests that fail in the failing state
+   * @param failureRateWhenHealthy the share of requests that fail in the healthy state
+   * @param decayTime the time constant with which an estimate without outcomes decays to the prior
+   */
+  public record Assumptions(
+      double prior,
+      double failureRateWhenFailing,
+      double failureRateWhenHealthy,
+      Duration decayTime) {
+    /** The assumptions of an instance. */
+    public static final Assumptions DEFAULT =
+        new Assumptions(
+            PRIOR_RISK, FAILURE_RATE_WHEN_FAILING, FAILURE_RATE_WHEN_HEALTHY, DECAY_TIME_CONSTANT);
+
+    private double failureLikelihoodRatio() {
+      return failureRateWhenFailing / failureRateWhenHealthy;
+    }
+
+    private double successLikelihoodRatio() {
+      return (1 - failureRateWhenFailing) / (1 - failureRateWhenHealthy);
+    }
+  }
+
   /** The prior probability of the failing state. */
   static final double PRIOR_RISK = 0.2;
 
@@ -62,21 +89,28 @@
   /** Risks above this limit are high. A single failure keeps a target above it for 3 s. */
   static final double HIGH_RISK_LIMIT = 0.45;
 
-  private static final double FAILURE_LIKELIHOOD_RATIO =
-      FAILURE_RATE_WHEN_FAILING / FAILURE_RATE_WHEN_HEALTHY;
-  private static final double SUCCESS_LIKELIHOOD_RATIO =
-      (1 - FAILURE_RATE_WHEN_FAILING) / (1 - FAILURE_RATE_WHEN_HEALTHY);
-
   /** Keeps an estimate from certainty: a target may have failed since its last response. */
   private static final double MIN_RISK = 0.01;
 
   private record Estimate(double risk, ClockReading updatedAt) {}
 
+  private final Assumptions assumptions;
   private final Map<TargetId, Estimate> targetEstimates = new HashMap<>();
   private final Map<TargetId, Estimate> pathEstimates = new HashMap<>();
 
   /** Creates an estimator without any outcome. */
-  public FailureRisk() {}
+  public FailureRisk() {
+    this(Assumptions.DEFAULT);
+  }
+
+  /**
+   * Creates an estimator without any outcome.
+   *
+   * @param assumptions what is assumed about failing targets
+   */
+  public FailureRisk(Assumptions assumptions) {
+    this.assumptions = assumptions;
+  }
 
   /**
    * Records a request of this instance that a target completed.
@@ -85,9 +119,9 @@
    * @param now the current time
    */
   public void recordSuccess(TargetId target, ClockReading now) {
-    update(targetEstimates, target, SUCCESS_LIKELIHOOD_RATIO, PRIOR_RISK, now);
+    update(targetEstimates, target, assumptions.successLikelihoodRatio(), assumptions.prior(), now);
     if (pathEstimates.containsKey(target)) {
-      update(pathEstimates, target, SUCCESS_LIKELIHOOD_RATIO, 0, now);
+      update(pathEstimates, target, assumptions.successLikelihoodRatio(), 0, now);
     }
   }
 
@@ -99,7 +133,12 @@
    * @param now the current time
    */
   public void recordPeerSuccesses(TargetId target, int count, ClockReading now) {
-    update(targetEstimates, target, Math.pow(SUCCESS_LIKELIHOOD_RATIO, count), PRIOR_RISK, now);
+    update(
+        targetEstimates,
+        target,
+        Math.pow(assumptions.successLikelihoodRatio(), count),
+        assumptions.prior(),
+        now);
   }
 
   /**
@@ -109,7 +148,7 @@
    * @param now the current time
    */
   public void recordFailure(TargetId target, ClockReading now) {
-    update(targetEstimates, target, FAILURE_LIKELIHOOD_RATIO, PRIOR_RISK, now);
+    update(targetEstimates, target, assumptions.failureLikelihoodRatio(), assumptions.prior(), now);
   }
 
   /**
@@ -119,7 +158,7 @@
    * @param now the current time
    */
   public void recordUnreachable(TargetId target, ClockReading now) {
-    update(targetEstimates, target, STALL_LIKELIHOOD_RATIO, PRIOR_RISK, now);
+    update(targetEstimates, target, STALL_LIKELIHOOD_RATIO, assumptions.prior(), now);
     pathEstimates.put(target, new Estimate(1 - MIN_RISK, now));
   }
 
@@ -130,10 +169,10 @@
    * @param now the current time
    */
   public void recordPeerUnreachable(TargetId target, ClockReading now) {
-    update(targetEstimates, target, STALL_LIKELIHOOD_RATIO, PRIOR_RISK, now);
+    update(targetEstimates, target, STALL_LIKELIHOOD_RATIO, assumptions.prior(), now);
   }
 
-  private static void update(
+  private void update(
       Map<TargetId, Estimate> estimates,
       TargetId target,
       double likelihoodRatio,
@@ -145,14 +184,15 @@
     estimates.put(target, new Estimate(Math.clamp(posterior, MIN_RISK, 1 - MIN_RISK), now));
   }
 
-  private static double risk(
+  private double risk(
       Map<TargetId, Estimate> estimates, TargetId target, double prior, ClockReading now) {
     Estimate known = estimates.get(target);
     if (known == null) {
       return prior;
     }
     double decay =
-        Math.exp(-now.since(known.updatedAt()).toNanos() / (double) DECAY_TIME_CONSTANT.toNanos());
+        Math.exp(
+            -now.since(known.updatedAt()).toNanos() / (double) assumptions.decayTime().toNanos());
     return prior + (known.risk() - prior) * decay;
   }
 
@@ -166,7 +206,8 @@
    */
   public double risk(TargetId target, ClockReading now) {
     return Math.max(
-        risk(targetEstimates, target, PRIOR_RISK, now), risk(pathEstimates, target, 0, now));
+        risk(targetEstimates, target, assumptions.prior(), now),
+        risk(pathEstimates, target, 0, now));
   }
 
   /**
--- a/core/src/main/java/org/bergamotcross/core/routing/TargetChooser.java
+++ b/core/src/main/java/org/bergamotcross/core/routing/TargetChooser.java
@@ -55,6 +55,26 @@
   /** The utilization up to which a target in the same failure domain is preferred. */
   static final double MAX_LOCAL_UTILIZATION = 0.55;
 
+  /**
+   * The limits of a choice.
+   *
+   * @param desiredUtilization the desired mean share of occupied slots among the candidates
+   * @param minCandidateShare the minimum share of a pool that remains eligible
+   * @param minShareWithoutHighRisk the share of the pool above which no high-risk target is
+   *     eligible
+   * @param localWeight the relative weight of a target in the same failure domain
+   */
+  public record Limits(
+      double desiredUtilization,
+      double minCandidateShare,
+      double minShareWithoutHighRisk,
+      double localWeight) {
+    /** The limits of an instance. */
+    public static final Limits DEFAULT =
+        new Limits(
+            DESIRED_UTILIZATION, MIN_CANDIDATE_SHARE, MIN_SHARE_WITHOUT_HIGH_RISK, LOCAL_WEIGHT);
+  }
+
   private record Candidate(
       Target target, double weight, int inFlight, double risk, boolean isLocal) {}
 
@@ -65,6 +85,7 @@
   private final TargetNotices notices;
   private final UnusedTargetTrials unusedTrials;
   private final UniformRandomProvider random;
+  private final Limits limits;
   private final Map<TargetId, ClockReading> trialCooldownEnds = new HashMap<>();
 
   /**
@@ -84,6 +105,29 @@
       PoolLoad load,
       TargetNotices notices,
       UniformRandomProvider random) {
+    this(ownDomain, inFlight, failureRisk, load, notices, random, Limits.DEFAULT);
+  }
+
+  /**
+   * Creates a chooser with limits of its own.
+   *
+   * @param ownDomain the failure domain of this instance
+   * @param inFlight the requests in flight, updated by the caller
+   * @param failureRisk the failure risk of the targets, updated by the caller
+   * @param load the load of the targets, updated by the caller
+   * @param notices what the targets announced, updated by the caller
+   * @param random the source of random numbers, seeded by the caller
+   * @param limits the limits of a choice
+   */
+  public TargetChooser(
+      FailureDomain ownDomain,
+      InFlightCounts inFlight,
+      FailureRisk failureRisk,
+      PoolLoad load,
+      TargetNotices notices,
+      UniformRandomProvider random,
+      Limits limits) {
+    this.limits = limits;
     this.ownDomain = ownDomain;
     this.inFlight = inFlight;
     this.failureRisk = failureRisk;
@@ -175,7 +219,7 @@
           boolean isLocal = isLocal(pool, target, now);
           // All instances of a domain together could overload local targets of unknown load.
           boolean isPreferred = isLocal && load.hasMeanDuration(pool.id());
-          double weight = available.weight() * (isPreferred ? LOCAL_WEIGHT : 1);
+          double weight = available.weight() * (isPreferred ? limits.localWeight() : 1);
           eligible.add(
               new Candidate(target, weight, count, failureRisk.risk(target.id(), now), isLocal));
         }
@@ -193,8 +237,9 @@
    */
   private List<Candidate> keepLowestRisk(Pool pool, List<Candidate> eligible, ClockReading now) {
     int size = pool.targets().size();
-    double neededForLoad = load.occupiedSlots(pool, now) / (pool.slots() * DESIRED_UTILIZATION);
-    double minCount = Math.max(neededForLoad, size * MIN_CANDIDATE_SHARE);
+    double neededForLoad =
+        load.occupiedSlots(pool, now) / (pool.slots() * limits.desiredUtilization());
+    double minCount = Math.max(neededForLoad, size * limits.minCandidateShare());
     List<Candidate> byRisk = new ArrayList<>(eligible);
     byRisk.sort(Comparator.comparingDouble(Candidate::risk));
     List<Candidate> kept = new ArrayList<>(byRisk.size());
@@ -203,7 +248,7 @@
           switch (FailureRisk.riskLevel(candidate.risk())) {
             case LOW -> true;
             case UNCERTAIN -> kept.size() < minCount;
-            case HIGH -> kept.size() < size * MIN_SHARE_WITHOUT_HIGH_RISK;
+            case HIGH -> kept.size() < size * limits.minShareWithoutHighRisk();
           };
       if (needed || kept.isEmpty() || kept.getLast().risk() == candidate.risk()) {
         kept.add(candidate);
--- a/entry/src/main/java/org/bergamotcross/entry/EntrySettings.java
+++ b/entry/src/main/java/org/bergamotcross/entry/EntrySettings.java
@@ -3,6 +3,8 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import org.bergamotcross.core.admission.RateTolerance;
@@ -56,6 +58,28 @@
   public static final Setting<Integer> QUEUE_CAPACITY =
       Setting.integer("limits", "queue-capacity", 1, 1_000_000).orDefault("1024");
 
+  /** How a pool that has too little room divides it. */
+  public static final Setting<String> SCHEDULING_POLICY =
+      Setting.oneOf("scheduling", "policy", List.of("deadline", "fair")).orDefault("deadline");
+
+  /** Words that describe the environment, for example rendered by the platform. */
+  public static final Setting<List<String>> SCHEDULING_CONDITIONS =
+      new Setting<>(
+          "scheduling",
+          "conditions",
+          "words that are separated by commas",
+          Optional.of(""),
+          EntrySettings::parseWords);
+
+  /** The word among the conditions that selects the fair policy; empty for none. */
+  public static final Setting<List<String>> SCHEDULING_FAIR_UNDER =
+      new Setting<>(
+          "scheduling",
+          "fair-under",
+          "words that are separated by commas",
+          Optional.of(""),
+          EntrySettings::parseWords);
+
   /** The maximum size of a request body in bytes. */
   public static final Setting<Integer> MAX_BODY_BYTES =
       Setting.integer("limits", "max-body-bytes", 1, 1 << 30).orDefault("1048576");
@@ -115,6 +139,26 @@
 
   private EntrySettings() {}
 
+  private static Optional<List<String>> parseWords(String text) {
+    return Optional.of(
+        Arrays.stream(text.split(",", -1))
+            .map(String::strip)
+            .filter(word -> !word.isEmpty())
+            .toList());
+  }
+
+  /**
+   * Returns whether the pools of an instance use the fair scheduling policy.
+   *
+   * @param settings the settings of the instance
+   * @return whether it is selected, or one of the conditions selects it
+   */
+  public static boolean isFairScheduling(Settings settings) {
+    return settings.value(SCHEDULING_POLICY).equals("fair")
+        || !Collections.disjoint(
+            settings.value(SCHEDULING_CONDITIONS), settings.value(SCHEDULING_FAIR_UNDER));
+  }
+
   /**
    * Reads the tolerance for exceeding delegated rates.
    *
--- a/entry/src/main/java/org/bergamotcross/entry/duties/OutcomeBroadcaster.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/OutcomeBroadcaster.java
@@ -111,6 +111,11 @@
     message.leaving().forEach((id, start) -> notices.onLeaving(new TargetId(id), start, now));
   }
 
+  /** Sends what this instance saw of pools, which need not wait for outcomes. */
+  void sendPools(Map<String, Long> pools) {
+    peerSender.sendAll(new OutcomeMessage(Map.of(), Map.of(), Map.of(), Map.of(), pools));
+  }
+
   /** Sends the collected outcomes if the interval has passed. */
   void sendIfDue(ClockReading now) {
     boolean isEmpty = completed.isEmpty() && failed.isEmpty() && unreachable.isEmpty();
--- a/entry/src/main/java/org/bergamotcross/entry/duties/OutcomeMessage.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/OutcomeMessage.java
@@ -11,12 +11,15 @@
  * @param unreachable the number of requests that stalled or whose connection failed, by target id
  * @param leaving the Unix time in ms of the start of each target that announced that it is leaving,
  *     by target id; 0 if the start is unknown
+ * @param pools what the sender saw of pools, as sums by the keys of {@link PoolScheduling}; empty
+ *     from older builds
  */
 record OutcomeMessage(
     Map<String, Integer> completed,
     Map<String, Integer> failed,
     Map<String, Integer> unreachable,
-    Map<String, Long> leaving) {
+    Map<String, Long> leaving,
+    Map<String, Long> pools) {
   static final String KIND = "outcomes";
 
   /** Makes unmodifiable copies of the maps; a map that is missing in a message becomes empty. */
@@ -25,5 +28,15 @@
     failed = failed == null ? Map.of() : Map.copyOf(failed);
     unreachable = unreachable == null ? Map.of() : Map.copyOf(unreachable);
     leaving = leaving == null ? Map.of() : Map.copyOf(leaving);
+    pools = pools == null ? Map.of() : Map.copyOf(pools);
+  }
+
+  /** Creates a message without pools. */
+  OutcomeMessage(
+      Map<String, Integer> completed,
+      Map<String, Integer> failed,
+      Map<String, Integer> unreachable,
+      Map<String, Long> leaving) {
+    this(completed, failed, unreachable, leaving, Map.of());
   }
 }
--- a/entry/src/main/java/org/bergamotcross/entry/duties/RoutingDuty.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/RoutingDuty.java
@@ -27,6 +27,7 @@
 import org.bergamotcross.core.routing.RetryPolicy;
 import org.bergamotcross.core.routing.RouteLatency;
 import org.bergamotcross.core.routing.SendResult;
+import org.bergamotcross.core.routing.ShedPolicy;
 import org.bergamotcross.core.routing.TargetChoice;
 import org.bergamotcross.core.routing.TargetChooser;
 import org.bergamotcross.core.routing.TargetNotices;
@@ -71,6 +72,8 @@
   private final OutcomeBroadcaster outcomes;
   private final RouteLatency usualDuration = new RouteLatency();
   private final RetryPolicy retries;
+  // Empty with the deadline policy.
+  private final Optional<PoolScheduling> scheduling;
   private Configuration appliedConfiguration = Configuration.EMPTY;
   private HealthView appliedHealth = new HealthView(Map.of());
   private int inFlightAttempts;
@@ -95,6 +98,10 @@
     this.notices = new TargetNotices(random);
     this.outcomes = new OutcomeBroadcaster(risks, load, notices, peerSender, context.time().now());
     this.chooser = new TargetChooser(ownDomain, inFlightCounts, risks, load, notices, random);
+    this.scheduling =
+        EntrySettings.isFairScheduling(context.settings())
+            ? Optional.of(new PoolScheduling(risks, random, context.time().now()))
+            : Optional.empty();
     this.retries =
         new RetryPolicy(
             random,
@@ -125,9 +132,17 @@
     requests.takeDueRetries(now).forEach(request -> dispatch(request, now));
     requests.queuedPools().forEach(pool -> serveQueue(pool, now));
     outcomes.sendIfDue(now);
+    scheduling.ifPresent(policy -> reportPools(policy, now));
     return untilNextTick(now);
   }
 
+  private void reportPools(PoolScheduling policy, ClockReading now) {
+    Map<String, Long> report = policy.takeDueReport(appliedConfiguration.pools(), now);
+    if (!report.isEmpty()) {
+      outcomes.sendPools(report);
+    }
+  }
+
   private Duration untilNextTick(ClockReading now) {
     if (!requests.queuedPools().isEmpty()) {
       return QUEUED_TICK_INTERVAL;
@@ -161,8 +176,10 @@
         case RoutingEvent.PeerInFlightReceived received ->
             inFlightCounts.onPeerReport(
                 received.report().peer(), received.report().averages(), now);
-        case RoutingEvent.PeerOutcomesReceived received ->
-            outcomes.onPeerOutcomes(received.outcomes(), now);
+        case RoutingEvent.PeerOutcomesReceived received -> {
+          outcomes.onPeerOutcomes(received.outcomes(), now);
+          scheduling.ifPresent(policy -> policy.onPeerReport(received.outcomes().pools(), now));
+        }
         case RoutingEvent.PeerRestarted restarted -> outcomes.sendLeavingTargets(restarted.peer());
         case RoutingEvent.FleetChanged changed ->
             retries.updateInstanceCount(changed.view().instanceCount());
@@ -177,7 +194,24 @@
       abandonRequest(request, now);
       return;
     }
-    dispatch(request, now);
+    Optional<Refusal> refusal = refusalForLackOfRoom(admitted, now);
+    if (refusal.isPresent()) {
+      refuse(request, refusal.get(), now);
+    } else {
+      dispatch(request, now);
+    }
+  }
+
+  private Optional<Refusal> refusalForLackOfRoom(AdmittedRequest admitted, ClockReading now) {
+    Optional<Pool> pool = publishedState.configuration().get().pool(admitted.pool());
+    if (scheduling.isEmpty() || pool.isEmpty()) {
+      return Optional.empty();
+    }
+    return switch (scheduling.get().decide(admitted, pool.get(), now)) {
+      case ShedPolicy.Decision.Send ignored -> Optional.empty();
+      case ShedPolicy.Decision.Refuse refuse ->
+          Optional.of(new Refusal.PoolFull(admitted.pool().value(), refuse.retryAfter()));
+    };
   }
 
   /** Sends or queues a request; requests that are already queued go first. */
@@ -325,6 +359,7 @@
       case AttemptEvent.RequestShed shed -> {
         recordLeaving(sent.target(), shed.draining(), now);
         recordRejection(sent.target(), shed.retryAfter(), now);
+        scheduling.ifPresent(policy -> policy.onRejection(request.admitted().pool()));
         onFailure(request, sent, new SendResult.Shed(shed.retryAfter(), shed.draining()), now);
       }
       case AttemptEvent.ConnectionBroken ignored -> {
@@ -387,6 +422,8 @@
       outcomes.onSuccess(sent.target().id(), now);
       usualDuration.recordLatency(request.admitted().route().name(), now.since(sent.startedAt()));
       load.recordDuration(request.admitted().pool(), now.since(sent.startedAt()));
+      scheduling.ifPresent(
+          policy -> policy.onResponse(request.admitted(), now.since(sent.startedAt())));
     }
   }
 
@@ -528,6 +565,7 @@
     for (RoutedRequest request : List.copyOf(requests.all())) {
       if (request.stage() instanceof RoutedRequest.Stage.Sent sent
           && usualDuration.isStalled(request.admitted().route().name(), sent.startedAt(), now)
+          && scheduling.filter(p -> p.isLimited(request.admitted().pool())).isEmpty()
           && request.markStalled()) {
         reporter.reportStalled(request, sent, now);
         outcomes.onUnreachable(sent.target().id(), now);
@@ -612,7 +650,9 @@
       return;
     }
     appliedConfiguration = current;
-    retries.retainPools(current.pools().stream().map(Pool::id).toList());
+    List<PoolId> pools = current.pools().stream().map(Pool::id).toList();
+    retries.retainPools(pools);
+    scheduling.ifPresent(policy -> policy.retainPools(pools));
     Set<TargetId> targets =
         current.pools().stream()
             .flatMap(pool -> pool.targets().stream())
--- a/entry/src/main/java/org/bergamotcross/entry/duties/RoutingPlugin.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/RoutingPlugin.java
@@ -44,6 +44,9 @@
         EntrySettings.FAILURE_DOMAIN,
         EntrySettings.RING_CAPACITY,
         EntrySettings.QUEUE_CAPACITY,
+        EntrySettings.SCHEDULING_POLICY,
+        EntrySettings.SCHEDULING_CONDITIONS,
+        EntrySettings.SCHEDULING_FAIR_UNDER,
         EntrySettings.RETRY_SHARE,
         EntrySettings.RETRY_FLEET_RESERVE);
   }
--- a/entry/src/main/java/org/bergamotcross/entry/http/CallerResponseEncoder.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/CallerResponseEncoder.java
@@ -130,6 +130,7 @@
       case Refusal.Overloaded ignored -> 503;
       case Refusal.NoTarget ignored -> 503;
       case Refusal.TargetsPaused ignored -> 503;
+      case Refusal.PoolFull ignored -> 503;
       case Refusal.Stopping ignored -> 503;
       case Refusal.NotReady ignored -> 503;
       case Refusal.StaleConfiguration ignored -> 503;
@@ -163,6 +164,8 @@
       case Refusal.NoTarget r -> "no target of pool " + r.pool() + " may be used";
       case Refusal.TargetsPaused r ->
           "all targets of pool " + r.pool() + " asked for a pause; try again after it";
+      case Refusal.PoolFull r ->
+          "pool " + r.pool() + " has too little room for all requests; try again";
       case Refusal.Stopping ignored -> "this instance is stopping; open a new connection";
       case Refusal.NotReady ignored -> "this instance has no confirmed configuration yet";
       case Refusal.StaleConfiguration ignored ->
@@ -185,6 +188,7 @@
       case Refusal.Overloaded ignored -> Optional.of(BUSY_RETRY_AFTER);
       case Refusal.NoTarget ignored -> Optional.of(BUSY_RETRY_AFTER);
       case Refusal.TargetsPaused r -> Optional.of(r.retryAfter());
+      case Refusal.PoolFull r -> Optional.of(r.retryAfter());
       case Refusal.NotReady ignored -> Optional.of(OTHER_INSTANCE_RETRY_AFTER);
       default -> Optional.empty();
     };
