--- a/bench/src/main/java/org/bergamotcross/bench/SimulatedTarget.java
+++ b/bench/src/main/java/org/bergamotcross/bench/SimulatedTarget.java
@@ -3,7 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 
-/** A simulated target with a fixed number of slots and an unbounded FIFO queue. */
+/** A simulated target with a fixed number of slots and a FIFO queue. */
 final class SimulatedTarget {
 
   /** An attempt that the target executes or queues. */
@@ -20,18 +20,36 @@
   }
 
   private final EventScheduler scheduler;
+  private final int slots;
+  private final int queueLimit;
   private final Deque<Job> waiting = new ArrayDeque<>();
   private int busySlots;
 
+  /** Creates a target with an unbounded queue. */
   SimulatedTarget(EventScheduler scheduler) {
+    this(scheduler, Deployment.SLOTS_PER_TARGET, Integer.MAX_VALUE);
+  }
+
+  SimulatedTarget(EventScheduler scheduler, int slots, int queueLimit) {
     this.scheduler = scheduler;
+    this.slots = slots;
+    this.queueLimit = queueLimit;
+  }
+
+  /** Returns whether the queue has no room for another job. */
+  boolean isFull() {
+    return waiting.size() >= queueLimit;
+  }
+
+  int busySlots() {
+    return busySlots;
   }
 
   void accept(Job job) {
     if (job.isFinished) {
       return;
     }
-    if (busySlots >= Deployment.SLOTS_PER_TARGET) {
+    if (busySlots >= slots) {
       waiting.add(job);
       return;
     }
