--- a/core/src/main/java/org/bergamotcross/core/membership/Roster.java
+++ b/core/src/main/java/org/bergamotcross/core/membership/Roster.java
@@ -169,6 +169,18 @@
     }
   }
 
+  /**
+   * Records that instances that acknowledge the local instance also know its incarnation, so that
+   * they no longer use leases of the previous one.
+   *
+   * @param instances the instances
+   */
+  public void recordIncarnationKnown(Collection<InstanceId> instances) {
+    for (InstanceId id : instances) {
+      Optional.ofNullable(others.get(id)).ifPresent(entry -> entry.knowsIncarnation = true);
+    }
+  }
+
   /**
    * Records that instances are alive because they answer this instance or a reachable peer.
    *
--- a/entry/src/main/java/org/bergamotcross/entry/EntrySettings.java
+++ b/entry/src/main/java/org/bergamotcross/entry/EntrySettings.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.bergamotcross.core.admission.RateTolerance;
 import org.bergamotcross.core.membership.FailureDomain;
 import org.bergamotcross.core.membership.InstanceId;
@@ -110,11 +111,68 @@
   public static final Setting<Integer> HEARTBEAT_INTERVAL_MS =
       Setting.integer("peers", "beat-ms", 100, 60_000).orDefault("500");
 
+  /** The value of {@link #FULL_MESH_LIMIT} with which an instance never uses relays. */
+  public static final int NO_FULL_MESH_LIMIT = 1_000_000;
+
+  /**
+   * The maximum number of instances that all keep links to each other; in a larger fleet, some of
+   * them relay messages for the others. By default there are never relays.
+   */
+  public static final Setting<Integer> FULL_MESH_LIMIT =
+      Setting.integer("peers", "full-mesh-limit", 2, NO_FULL_MESH_LIMIT)
+          .orDefault(Integer.toString(NO_FULL_MESH_LIMIT));
+
+  /** The share of a core that the instance may use. */
+  public static final Setting<OptionalDouble> PROCESSOR_SHARE = optionalDecimal("processor-share");
+
+  /** How many times as fast as usual the core of the instance is. */
+  public static final Setting<OptionalDouble> PROCESSOR_SPEED = optionalDecimal("processor-speed");
+
+  /** The bandwidth of the instance's network link in Mbit/s. */
+  public static final Setting<OptionalDouble> LINK_MBPS = optionalDecimal("link-mbps");
+
+  private static final double MAX_CAPACITY = 1_000_000;
+  private static final double CAPACITY_PER_CORE = 1_000;
+
+  // A frame between instances takes about 80 us of a core and 150 bytes of a link, so that 1 Mbit/s
+  // carries what 0.06 of a core can process.
+  private static final double CAPACITY_PER_MBPS = 60;
+
   // A delegation expires 3.5 s after the heartbeat that it answers; three heartbeats must fit in.
   private static final int MAX_DELEGATION_HEARTBEAT_INTERVAL_MS = 1_000;
 
   private EntrySettings() {}
 
+  private static Setting<OptionalDouble> optionalDecimal(String key) {
+    Setting<Double> decimal = Setting.decimal("instance", key, 0, MAX_CAPACITY);
+    return new Setting<>(
+        "instance",
+        key,
+        decimal.expected() + ", or nothing if unknown",
+        Optional.of(""),
+        text ->
+            text.isEmpty()
+                ? Optional.of(OptionalDouble.empty())
+                : decimal.parser().parse(text).map(OptionalDouble::of));
+  }
+
+  /**
+   * Returns the capacity of the instance for relaying messages, in thousandths of a core.
+   *
+   * @param settings the settings of the instance
+   * @return what the processor and the link allow; 0 if neither is known
+   */
+  public static int capacity(Settings settings) {
+    OptionalDouble share = settings.value(PROCESSOR_SHARE);
+    OptionalDouble mbps = settings.value(LINK_MBPS);
+    boolean isKnown = share.isPresent() || mbps.isPresent();
+    double processor =
+        share.orElse(MAX_CAPACITY) * settings.value(PROCESSOR_SPEED).orElse(1) * CAPACITY_PER_CORE;
+    double link = mbps.orElse(MAX_CAPACITY) * CAPACITY_PER_MBPS;
+    double capacity = Math.min(processor, link);
+    return isKnown ? (int) Math.min(capacity, MAX_CAPACITY) : 0;
+  }
+
   /**
    * Reads the tolerance for exceeding delegated rates.
    *
--- a/entry/src/main/java/org/bergamotcross/entry/PeerExchange.java
+++ b/entry/src/main/java/org/bergamotcross/entry/PeerExchange.java
@@ -1,5 +1,6 @@
 package org.bergamotcross.entry;
 
+import java.util.function.BinaryOperator;
 import org.bergamotcross.core.membership.InstanceId;
 import org.bergamotcross.kernel.RingOfferResult;
 
@@ -42,8 +43,20 @@
    *
    * @param id the id of the sending instance
    * @param incarnation the incarnation of its process
+   * @param via the instance that passed the message on; the sender itself if there was none
    */
-  record Sender(InstanceId id, long incarnation) {}
+  record Sender(InstanceId id, long incarnation, InstanceId via) {
+
+    /**
+     * Creates the sender of a message that nobody passed on.
+     *
+     * @param id the id of the sending instance
+     * @param incarnation the incarnation of its process
+     */
+    public Sender(InstanceId id, long incarnation) {
+      this(id, incarnation, id);
+    }
+  }
 
   /**
    * Registers the handler for a kind of message; called while plug-ins are configured or started.
@@ -56,6 +69,17 @@
    */
   <T extends Record> void handle(String kind, Class<T> type, Handler<T> handler);
 
+  /**
+   * Lets relays merge messages of one kind that they pass on to all instances at the same time. The
+   * sender of a merged message is the relay. An exchange without relays merges nothing.
+   *
+   * @param kind the name of the kind
+   * @param type the record type of the message
+   * @param merger merges two messages into one that has the effect of both
+   * @param <T> the type of the message
+   */
+  default <T extends Record> void mergeBy(String kind, Class<T> type, BinaryOperator<T> merger) {}
+
   /**
    * Sends a message without blocking.
    *
@@ -69,7 +93,7 @@
   RingOfferResult send(InstanceId to, String kind, Record message);
 
   /**
-   * Sends a message to every connected peer.
+   * Sends a message to every other instance, in a large fleet through relays.
    *
    * @param kind the name of the kind
    * @param message the message
--- a/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogDuty.java
+++ b/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogDuty.java
@@ -156,7 +156,7 @@
       case CatalogInput.PeersChanged changed -> onPeersChanged(changed.view(), now);
       case CatalogInput.UpdateReceived update -> onUpdate(update.from(), update.message(), now);
       case CatalogInput.SettingsReadReceived read ->
-          onPeerReadSettings(read.from(), read.message(), now);
+          onPeerReadSettings(read.from(), read.via(), read.message(), now);
       case CatalogInput.StoreUnavailableReceived ignored -> onStoreUnavailable(now);
       case CatalogInput.SyncRequestReceived request ->
           onSyncRequest(request.from(), request.message(), now);
@@ -428,12 +428,12 @@
   }
 
   private void onPeerReadSettings(
-      InstanceId from, CatalogMessages.SettingsRead message, ClockReading now) {
+      InstanceId from, InstanceId via, CatalogMessages.SettingsRead message, ClockReading now) {
     if (readSchedule.isPreceding(peers, from)) {
       lastPrecedingSettingsReadAt = now;
     }
     if (message.settingsEnd() > knownSettingsEnd()) {
-      requestSync(from, now);
+      requestSync(via, now);
     }
   }
 
--- a/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogInput.java
+++ b/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogInput.java
@@ -35,7 +35,7 @@
   record UpdateReceived(InstanceId from, CatalogMessages.Update message) implements CatalogInput {}
 
   /** A peer has read the settings, or has waited in vain for new ones. */
-  record SettingsReadReceived(InstanceId from, CatalogMessages.SettingsRead message)
+  record SettingsReadReceived(InstanceId from, InstanceId via, CatalogMessages.SettingsRead message)
       implements CatalogInput {}
 
   /** A peer reported that its reads of the store have begun to fail. */
--- a/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogPlugin.java
+++ b/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogPlugin.java
@@ -71,11 +71,12 @@
     exchange.handle(
         CatalogMessages.UPDATE,
         CatalogMessages.Update.class,
-        (from, message) -> ring.offer(new CatalogInput.UpdateReceived(from.id(), message)));
+        (from, message) -> ring.offer(new CatalogInput.UpdateReceived(from.via(), message)));
     exchange.handle(
         CatalogMessages.SETTINGS_READ,
         CatalogMessages.SettingsRead.class,
-        (from, message) -> ring.offer(new CatalogInput.SettingsReadReceived(from.id(), message)));
+        (from, message) ->
+            ring.offer(new CatalogInput.SettingsReadReceived(from.id(), from.via(), message)));
     exchange.handle(
         CatalogMessages.STORE_UNAVAILABLE,
         CatalogMessages.StoreUnavailable.class,
--- a/entry/src/main/java/org/bergamotcross/entry/duties/OutcomeMessage.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/OutcomeMessage.java
@@ -1,6 +1,8 @@
 package org.bergamotcross.entry.duties;
 
+import java.util.HashMap;
 import java.util.Map;
+import java.util.function.BinaryOperator;
 
 /**
  * Reports to peers how requests to targets ended since the previous message.
@@ -26,4 +28,20 @@
     unreachable = unreachable == null ? Map.of() : Map.copyOf(unreachable);
     leaving = leaving == null ? Map.of() : Map.copyOf(leaving);
   }
+
+  /** Returns a message with the effect of both; of two starts of a target, the later one counts. */
+  OutcomeMessage merge(OutcomeMessage other) {
+    return new OutcomeMessage(
+        merge(completed, other.completed, Integer::sum),
+        merge(failed, other.failed, Integer::sum),
+        merge(unreachable, other.unreachable, Integer::sum),
+        merge(leaving, other.leaving, Math::max));
+  }
+
+  private static <T> Map<String, T> merge(
+      Map<String, T> first, Map<String, T> second, BinaryOperator<T> merger) {
+    Map<String, T> merged = new HashMap<>(first);
+    second.forEach((target, value) -> merged.merge(target, value, merger));
+    return merged;
+  }
 }
--- a/entry/src/main/java/org/bergamotcross/entry/duties/RoutingPlugin.java
+++ b/entry/src/main/java/org/bergamotcross/entry/duties/RoutingPlugin.java
@@ -83,11 +83,13 @@
             .orElseThrow(() -> new IllegalStateException("the routing topic is not open"));
     Optional<PeerExchange> exchange = context.service(PeerExchange.class);
     exchange.ifPresent(
-        peers ->
-            peers.handle(
-                OutcomeMessage.KIND,
-                OutcomeMessage.class,
-                (from, message) -> ring.offer(new RoutingEvent.PeerOutcomesReceived(message))));
+        peers -> {
+          peers.handle(
+              OutcomeMessage.KIND,
+              OutcomeMessage.class,
+              (from, message) -> ring.offer(new RoutingEvent.PeerOutcomesReceived(message)));
+          peers.mergeBy(OutcomeMessage.KIND, OutcomeMessage.class, OutcomeMessage::merge);
+        });
     context.startDuty(
         Topics.ROUTING,
         new RoutingDuty(context, ring, sender, publishedState, outcomeSender(exchange)));
--- a/entry/src/main/java/org/bergamotcross/entry/peer/ExchangePlugin.java
+++ b/entry/src/main/java/org/bergamotcross/entry/peer/ExchangePlugin.java
@@ -6,6 +6,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.BinaryOperator;
 import org.bergamotcross.core.membership.InstanceId;
 import org.bergamotcross.core.membership.Member;
 import org.bergamotcross.entry.Broadcasts;
@@ -52,6 +53,10 @@
         EntrySettings.FAILURE_DOMAIN,
         EntrySettings.PEER_ADDRESS,
         EntrySettings.HEARTBEAT_INTERVAL_MS,
+        EntrySettings.FULL_MESH_LIMIT,
+        EntrySettings.PROCESSOR_SHARE,
+        EntrySettings.PROCESSOR_SPEED,
+        EntrySettings.LINK_MBPS,
         SEEDS);
   }
 
@@ -133,6 +138,11 @@
       handlers.register(kind, type, handler);
     }
 
+    @Override
+    public <T extends Record> void mergeBy(String kind, Class<T> type, BinaryOperator<T> merger) {
+      handlers.registerMerger(kind, type, merger);
+    }
+
     @Override
     public RingOfferResult send(InstanceId to, String kind, Record message) {
       return ring.offer(new ExchangeInput.Outbound(to, kind, message));
--- a/entry/src/main/java/org/bergamotcross/entry/peer/FrameCodec.java
+++ b/entry/src/main/java/org/bergamotcross/entry/peer/FrameCodec.java
@@ -28,6 +28,9 @@
   private static final String ECHO_SEQUENCE = "echoSequence";
   private static final String OFFSET = "offset";
   private static final String DELEGATION = "delegation";
+  private static final String FLAGS = "flags";
+  private static final String DIGEST = "digest";
+  private static final String REPORT = "report";
 
   private final MessageBufferPacker packer = MessagePack.newDefaultBufferPacker();
 
@@ -60,12 +63,21 @@
   byte[] encode(Heartbeat heartbeat) {
     packer.clear();
     try {
-      packer.packMapHeader(5);
+      boolean usesRelays = heartbeat.flags() != 0;
+      boolean hasReport = heartbeat.report().length > 0;
+      packer.packMapHeader(5 + (usesRelays ? 2 : 0) + (hasReport ? 1 : 0));
       packer.packString(SEQUENCE).packLong(heartbeat.sequence());
       packer.packString(ECHO_INCARNATION).packLong(heartbeat.echoIncarnation());
       packer.packString(ECHO_SEQUENCE).packLong(heartbeat.echoSequence());
       packer.packString(OFFSET).packLong(heartbeat.offset());
       packBytes(DELEGATION, heartbeat.delegation());
+      if (usesRelays) {
+        packer.packString(FLAGS).packInt(heartbeat.flags());
+        packer.packString(DIGEST).packLong(heartbeat.digest());
+      }
+      if (hasReport) {
+        packBytes(REPORT, heartbeat.report());
+      }
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
@@ -126,6 +138,9 @@
     long echoSequence = 0;
     long offset = 0;
     byte[] delegation = new byte[0];
+    int flags = 0;
+    long digest = 0;
+    byte[] report = new byte[0];
     try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
       for (int left = in.unpackMapHeader(); left > 0; left--) {
         switch (in.unpackString()) {
@@ -134,12 +149,17 @@
           case ECHO_SEQUENCE -> echoSequence = in.unpackLong();
           case OFFSET -> offset = in.unpackLong();
           case DELEGATION -> delegation = readBytes(in, bytes.length);
+          case FLAGS -> flags = in.unpackInt();
+          case DIGEST -> digest = in.unpackLong();
+          case REPORT -> report = readBytes(in, bytes.length);
           default -> in.skipValue();
         }
       }
     } catch (IOException | MessagePackException e) {
       return Optional.empty();
     }
-    return Optional.of(new Heartbeat(sequence, echoIncarnation, echoSequence, offset, delegation));
+    return Optional.of(
+        new Heartbeat(
+            sequence, echoIncarnation, echoSequence, offset, delegation, flags, digest, report));
   }
 }
--- a/entry/src/main/java/org/bergamotcross/entry/peer/HandlerRegistry.java
+++ b/entry/src/main/java/org/bergamotcross/entry/peer/HandlerRegistry.java
@@ -1,8 +1,10 @@
 package org.bergamotcross.entry.peer;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BinaryOperator;
 import org.bergamotcross.entry.PeerExchange.Handler;
 import org.bergamotcross.entry.PeerExchange.Sender;
 
@@ -21,7 +23,18 @@
     }
   }
 
+  private record Merger<T extends Record>(Class<T> type, BinaryOperator<T> merger) {
+    Optional<byte[]> merge(List<byte[]> bodies, PeerCodec codec) {
+      List<T> messages =
+          bodies.stream().flatMap(body -> codec.decode(body, type).stream()).toList();
+      return messages.size() < bodies.size()
+          ? Optional.empty()
+          : messages.stream().reduce(merger).map(codec::encode);
+    }
+  }
+
   private final Map<String, Registration<?>> registrations = new ConcurrentHashMap<>();
+  private final Map<String, Merger<?>> mergers = new ConcurrentHashMap<>();
 
   <T extends Record> void register(String kind, Class<T> type, Handler<T> handler) {
     if (registrations.putIfAbsent(kind, new Registration<>(type, handler)) != null) {
@@ -30,6 +43,25 @@
     }
   }
 
+  <T extends Record> void registerMerger(String kind, Class<T> type, BinaryOperator<T> merger) {
+    mergers.put(kind, new Merger<>(type, merger));
+  }
+
+  /**
+   * Merges messages of one kind.
+   *
+   * @param kind the wire name of the kind
+   * @param bodies the messages encoded as MessagePack
+   * @param codec the codec for the bodies
+   * @return the encoded merged message; empty if there is only one, if messages of the kind can't
+   *     be merged, or if one of them can't be decoded
+   */
+  Optional<byte[]> merge(String kind, List<byte[]> bodies, PeerCodec codec) {
+    return bodies.size() < 2
+        ? Optional.empty()
+        : Optional.ofNullable(mergers.get(kind)).flatMap(merger -> merger.merge(bodies, codec));
+  }
+
   /**
    * Decodes a message received from a peer and passes it to the handler of its kind.
    *
--- a/entry/src/main/java/org/bergamotcross/entry/peer/LinkSet.java
+++ b/entry/src/main/java/org/bergamotcross/entry/peer/LinkSet.java
@@ -98,12 +98,25 @@
    * @param generation the generation passed to the callback; a link that has been replaced since is
    *     left alone
    * @param now the current time
+   * @return whether the link was still wanted
    */
-  void handleClosed(String address, long generation, ClockReading now) {
+  boolean handleClosed(String address, long generation, ClockReading now) {
     LinkState state = links.get(address);
     if (state != null && state.generation == generation && state.link != null) {
       closeAndScheduleReconnect(state, now);
     }
+    return state != null;
+  }
+
+  /**
+   * Returns whether there is a link to an address, established or being opened.
+   *
+   * @param address the address of the peer
+   * @return whether a frame can be offered to it
+   */
+  boolean isOpen(String address) {
+    LinkState state = links.get(address);
+    return state != null && state.link != null;
   }
 
   private static void closeAndScheduleReconnect(LinkState state, ClockReading now) {
--- a/entry/src/main/java/org/bergamotcross/entry/peer/PeerTable.java
+++ b/entry/src/main/java/org/bergamotcross/entry/peer/PeerTable.java
@@ -1,11 +1,8 @@
 package org.bergamotcross.entry.peer;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -16,29 +13,18 @@
 import org.bergamotcross.core.membership.FleetView;
 import org.bergamotcross.core.membership.InstanceId;
 import org.bergamotcross.core.membership.Member;
-import org.bergamotcross.core.membership.Members;
 import org.bergamotcross.core.membership.PeerView;
 import org.bergamotcross.core.membership.Roster;
 import org.bergamotcross.kernel.ClockReading;
 
 /**
- * Tracks the known peers, their heartbeats and echoes, and the delegations exchanged with them.
- *
- * <p>A peer is a member, a seed from the settings, or an instance that has introduced itself and
- * sent a message within {@link #NON_MEMBER_RETENTION}. All methods run on the exchange duty.
+ * Tracks the heartbeats and echoes of the known peers, the links to them, and the delegations
+ * exchanged with them. All methods run on the exchange duty.
  */
 final class PeerTable {
-  /** How long a silent instance that is not a member stays in the table. */
-  static final Duration NON_MEMBER_RETENTION = Duration.ofSeconds(30);
-
-  // 32 heartbeats of 500 ms cover 16 s, more than five times as long as an echo stays valid.
-  private static final int MAX_SENT_HEARTBEATS = 32;
-
   // The roster counts silence in hours, and each heartbeat names nearly all instances.
   private static final Duration CANDIDATES_INTERVAL = Duration.ofSeconds(10);
 
-  private record SentHeartbeat(long sequence, long planVersion, ClockReading sentAt) {}
-
   /**
    * A peer's echo of a heartbeat that this instance sent.
    *
@@ -47,163 +33,36 @@
    */
   record EchoedHeartbeat(ClockReading heartbeatSentAt, Delegation delegation) {}
 
-  private static final class Peer {
-    Member member;
-    ClockReading lastHeardAt;
-    boolean introduced;
-    long lastReceivedSequence;
-    long lastSentSequence;
-    Optional<ClockReading> echoedHeartbeatSentAt = Optional.empty();
-    long confirmedPlanVersion;
-    boolean connectionLost;
-    boolean released;
-    Optional<Delegation> announced = Optional.empty();
-    ClockReading candidatesDueAt;
-    final Deque<SentHeartbeat> sentHeartbeats = new ArrayDeque<>();
-
-    Peer(Member member, ClockReading heardAt) {
-      this.member = member;
-      this.lastHeardAt = heardAt;
-      this.candidatesDueAt = heardAt;
-    }
-
-    DelegationPlan.PeerState planState() {
-      return new DelegationPlan.PeerState(lastHeardAt, confirmedPlanVersion, released);
-    }
-  }
-
   private final Member self;
-  private final Map<InstanceId, Peer> peers = new HashMap<>();
+  private final KnownPeers peers;
   private final Roster roster;
+  private final RosterAgreement agreement;
+  private final RelaySelection relays;
+  private final Duration maxEchoAge;
   private final DelegationPlan plan;
   private final DelegationCodec codec = new DelegationCodec();
-  private Set<InstanceId> memberIds = Set.of();
   private FleetView fleet = FleetView.NONE;
   private Optional<ClockReading> releaseAt = Optional.empty();
   private boolean hasReleased;
-
-  PeerTable(Member self, ClockReading now) {
-    this.self = self;
-    this.roster = new Roster(self, now);
-    this.plan = new DelegationPlan(self.id());
-  }
+  private long announcedDigest;
 
   /**
-   * Adds the members of a new configuration and updates their records.
+   * Creates a table without peers.
    *
-   * @param members the members in the configuration
+   * @param self the local instance
+   * @param capacity the capacity of its processor and link
+   * @param fullMeshLimit the maximum number of counted instances that all keep links to each other
+   * @param maxEchoAge how long a peer is reachable after the last heartbeat that it echoed was sent
    * @param now the current time
    */
-  void updateMembers(Members members, ClockReading now) {
-    Set<InstanceId> ids = new HashSet<>();
-    for (Member member : members.list()) {
-      if (!member.id().equals(self.id())) {
-        ids.add(member.id());
-        Peer peer = peers.computeIfAbsent(member.id(), id -> new Peer(member, now));
-        if (!supersedesRecord(peer, member, now)) {
-          peer.member = member;
-        }
-      }
-    }
-    memberIds = ids;
-  }
-
-  // A restarted instance introduces itself before its join is in the log, and can't join while the
-  // log is unavailable. The record of its previous incarnation must not displace it.
-  private static boolean supersedesRecord(Peer peer, Member recorded, ClockReading now) {
-    return peer.introduced
-        && peer.member.incarnation() != recorded.incarnation()
-        && now.since(peer.lastHeardAt).compareTo(NON_MEMBER_RETENTION) <= 0;
-  }
-
-  /**
-   * Records the hello message of an instance.
-   *
-   * @param member the instance as it describes itself
-   * @param now the current time
-   * @return whether this incarnation had not introduced itself before
-   */
-  boolean recordIntroduction(Member member, ClockReading now) {
-    if (member.id().equals(self.id())) {
-      return false;
-    }
-    Peer peer = peers.computeIfAbsent(member.id(), id -> new Peer(member, now));
-    boolean isNew = !peer.introduced || peer.member.incarnation() != member.incarnation();
-    if (peer.member.incarnation() != member.incarnation()) {
-      peer.lastReceivedSequence = 0;
-      peer.released = false;
-    }
-    peer.member = member;
-    peer.introduced = true;
-    peer.lastHeardAt = now;
-    roster.add(member, now);
-    return isNew;
-  }
-
-  /**
-   * Adds an instance learned from the directory or from another peer.
-   *
-   * <p>An existing entry stays unchanged, because a peer's own introduction takes precedence.
-   *
-   * @param member the instance
-   * @param now the current time
-   * @return whether the instance was unknown
-   */
-  boolean discover(Member member, ClockReading now) {
-    if (member.id().equals(self.id()) || peers.containsKey(member.id())) {
-      return false;
-    }
-    peers.put(member.id(), new Peer(member, now));
-    roster.add(member, now);
-    return true;
-  }
-
-  /**
-   * Adds all instances listed in the directory to the table and to the roster.
-   *
-   * @param members the other instances
-   * @param containsSelf whether the directory lists this instance
-   * @param now the current time
-   * @return whether any of them was unknown
-   */
-  boolean applyDirectory(List<Member> members, boolean containsSelf, ClockReading now) {
-    boolean isNew = false;
-    for (Member member : members) {
-      isNew |= discover(member, now);
-    }
-    roster.applyDirectory(members, containsSelf, now);
-    return isNew;
-  }
-
-  /**
-   * Removes an instance that is no longer in the directory from the roster.
-   *
-   * @param id the instance
-   */
-  void removeFromRoster(InstanceId id) {
-    roster.remove(id);
-  }
-
-  /**
-   * Merges the peers known to another instance.
-   *
-   * <p>A complete list stands in for the directory only until this instance has a complete roster;
-   * a directory that this instance has read takes precedence.
-   *
-   * @param peerList the peers known to the sender
-   * @param now the current time
-   * @return whether any of them was unknown
-   */
-  boolean mergePeerList(PeerMessages.PeerList peerList, ClockReading now) {
-    List<Member> members = peerList.peers().stream().map(PeerMessages.Hello::member).toList();
-    if (peerList.complete() && !roster.isDirectoryKnown()) {
-      return applyDirectory(members, peerList.registered(), now);
-    }
-    boolean isNew = false;
-    for (Member member : members) {
-      isNew |= discover(member, now);
-    }
-    return isNew;
+  PeerTable(Member self, int capacity, int fullMeshLimit, Duration maxEchoAge, ClockReading now) {
+    this.self = self;
+    this.maxEchoAge = maxEchoAge;
+    this.roster = new Roster(self, now);
+    this.agreement = new RosterAgreement(roster, self.id(), now);
+    this.relays = new RelaySelection(self, capacity, fullMeshLimit, maxEchoAge);
+    this.peers = new KnownPeers(self, roster, relays, maxEchoAge);
+    this.plan = new DelegationPlan(self.id());
   }
 
   /**
@@ -216,16 +75,6 @@
     return roster.isShareUsable();
   }
 
-  /** Returns whether a peer is known to be listed in the directory. */
-  boolean isRegistered(InstanceId id) {
-    return roster.isRegistered(id);
-  }
-
-  /** Returns the latest description of every known peer. */
-  List<Member> members() {
-    return peers.values().stream().map(peer -> peer.member).toList();
-  }
-
   /**
    * Creates the next heartbeat for a peer and remembers it so that its echo can be matched.
    *
@@ -237,22 +86,23 @@
    */
   Optional<PeerMessages.Heartbeat> nextHeartbeat(
       InstanceId id, long offset, byte[] delegation, ClockReading now) {
-    Peer peer = peers.get(id);
-    if (peer == null) {
+    Optional<Peer> known = peers.peer(id);
+    if (known.isEmpty()) {
       return Optional.empty();
     }
-    peer.lastSentSequence++;
-    peer.sentHeartbeats.addLast(new SentHeartbeat(peer.lastSentSequence, plan.version(), now));
-    if (peer.sentHeartbeats.size() > MAX_SENT_HEARTBEATS) {
-      peer.sentHeartbeats.removeFirst();
-    }
+    Peer peer = known.get();
+    peer.recordSent(plan.version(), now);
+    boolean isFullMesh = relays.view().isFullMesh();
     return Optional.of(
         new PeerMessages.Heartbeat(
             peer.lastSentSequence,
             peer.member.incarnation(),
             peer.lastReceivedSequence,
             offset,
-            delegation));
+            delegation,
+            relays.flags(id).bits(),
+            isFullMesh ? 0 : agreement.digest(now),
+            relays.isReporting() ? agreement.reportFor(peer, now) : new byte[0]));
   }
 
   /** Returns this instance's delegation in the encoding that heartbeats carry. */
@@ -260,7 +110,8 @@
     return codec.encode(
         new DelegationCodec.DelegationAnnouncement(
             fleet.delegation(), roster.isRegistered(), hasReleased),
-        roster.members());
+        roster.members(),
+        !relays.view().isFullMesh());
   }
 
   /**
@@ -279,28 +130,27 @@
       PeerMessages.Heartbeat heartbeat,
       long ownIncarnation,
       ClockReading now) {
-    Peer peer = peers.get(id);
-    if (peer == null || peer.member.incarnation() != incarnation) {
+    Optional<Peer> known = peers.peer(id);
+    if (known.filter(p -> p.member.incarnation() == incarnation).isEmpty()) {
       return Optional.empty();
     }
+    Peer peer = known.get();
     peer.lastHeardAt = now;
     peer.lastReceivedSequence = Math.max(peer.lastReceivedSequence, heartbeat.sequence());
+    peer.updateFlags(new LinkFlags(heartbeat.flags()));
+    agreement.record(peer, heartbeat, now);
     if (heartbeat.echoIncarnation() != ownIncarnation) {
       return Optional.empty();
     }
-    Delegation delegation = decodeDelegation(id, heartbeat, now);
-    Optional<SentHeartbeat> echoed =
-        peer.sentHeartbeats.stream()
-            .filter(sentHeartbeat -> sentHeartbeat.sequence() == heartbeat.echoSequence())
-            .findFirst();
+    Delegation delegation = decodeDelegation(peer, heartbeat, now);
+    Optional<Peer.SentHeartbeat> echoed = peer.findSent(heartbeat.echoSequence());
     return echoed.map(
         sentHeartbeat -> {
           // While this instance's heartbeats are lost, the peer keeps echoing the last one
           // received.
-          peer.echoedHeartbeatSentAt = Optional.of(sentHeartbeat.sentAt());
+          peer.recordEcho(sentHeartbeat.sentAt());
           peer.confirmedPlanVersion =
               Math.max(peer.confirmedPlanVersion, sentHeartbeat.planVersion());
-          peer.connectionLost = false;
           roster.recordAcknowledgement(id);
           roster.recordAlive(List.of(id), now);
           return new EchoedHeartbeat(sentHeartbeat.sentAt(), delegation);
@@ -314,16 +164,15 @@
    * hear from them itself.
    */
   private Delegation decodeDelegation(
-      InstanceId id, PeerMessages.Heartbeat heartbeat, ClockReading now) {
+      Peer peer, PeerMessages.Heartbeat heartbeat, ClockReading now) {
     Optional<DelegationCodec.DelegationAnnouncement> announcement =
         codec.decode(heartbeat.delegation(), roster.members());
     if (announcement.isEmpty()) {
       return Delegation.NONE;
     }
     if (announcement.get().registered()) {
-      roster.recordRegistration(id);
+      roster.recordRegistration(peer.id());
     }
-    Peer peer = peers.get(id);
     peer.released = announcement.get().released();
     Delegation delegation = announcement.get().delegation();
     if (!peer.announced.equals(Optional.of(delegation)) || !now.isBefore(peer.candidatesDueAt)) {
@@ -338,35 +187,125 @@
    * Marks the peer at an address as unreachable until its next echo, because the connection ended.
    *
    * @param address the peer address
+   * @param now the current time
    */
-  void markConnectionLost(String address) {
-    peers.values().stream()
-        .filter(peer -> peer.member.peerAddress().equals(address))
-        .forEach(peer -> peer.connectionLost = true);
+  void recordLinkEnded(String address, ClockReading now) {
+    peersAt(address).forEach(peer -> peer.recordLinkEnded(now));
   }
 
   /**
-   * Returns the peers that echoed a recent heartbeat over a connection that is still open.
+   * Records that a connection to an address is being opened.
    *
-   * @param maxEchoAge the maximum age of the last echoed heartbeat
+   * @param address the peer address
    * @param now the current time
-   * @return the reachable peers
+   * @return whether this instance needs the link for itself
    */
-  PeerView reachablePeers(Duration maxEchoAge, ClockReading now) {
-    return new PeerView(
-        peers.entrySet().stream()
-            .filter(
-                entry ->
-                    !entry.getValue().connectionLost
-                        && hasEchoWithin(entry.getValue(), maxEchoAge, now))
-            .map(Map.Entry::getKey)
-            .collect(Collectors.toSet()));
+  boolean recordLinkOpened(String address, ClockReading now) {
+    List<Peer> opened = peersAt(address);
+    opened.forEach(peer -> peer.recordLinkOpened(now));
+    return opened.isEmpty() || opened.stream().anyMatch(peer -> relays.wants(peer.id()));
+  }
+
+  private List<Peer> peersAt(String address) {
+    return peers.all().stream().filter(peer -> peer.member.peerAddress().equals(address)).toList();
+  }
+
+  /**
+   * Updates the relays, the links that follow from them, and what this instance reports as a relay.
+   *
+   * @param now the current time
+   * @return whether peers must learn of a change at once
+   */
+  RelayUpdate updateRelays(ClockReading now) {
+    boolean isChanged = relays.update(roster.members(), peers.byId(), hasReleased, now);
+    if (relays.view().isFullMesh()) {
+      return new RelayUpdate(isChanged, isChanged);
+    }
+    long digest = agreement.digest(now);
+    boolean isDigestChanged = digest != announcedDigest;
+    announcedDigest = digest;
+    if (isDigestChanged) {
+      agreement.reapplyReports(peers.all(), now);
+    }
+    boolean isAgreed =
+        relays.isReporting() && agreement.updateOwnReport(peers.byId(), maxEchoAge, now);
+    return new RelayUpdate(
+        isChanged, isChanged || isAgreed || (isDigestChanged && !relays.isRelaying()));
+  }
+
+  /**
+   * What changed about the relays.
+   *
+   * @param isChanged whether the relays, the own role or the primary relay have changed
+   * @param isUrgent whether the linked peers are to be sent heartbeats at once
+   */
+  record RelayUpdate(boolean isChanged, boolean isUrgent) {}
+
+  /** Returns the known peers. */
+  KnownPeers known() {
+    return peers;
+  }
+
+  /** Returns the relays of the fleet and this instance's part in relaying. */
+  RelaySelection relays() {
+    return relays;
+  }
+
+  /** Returns the peer addresses of the instances to which there is to be a link. */
+  Map<InstanceId, String> linkedAddresses(ClockReading now) {
+    Map<InstanceId, String> addresses = new HashMap<>();
+    for (Peer peer : peers.all()) {
+      if (relays.isLinked(peer, now)) {
+        addresses.put(peer.id(), peer.member.peerAddress());
+      }
+    }
+    return addresses;
+  }
+
+  /** Returns whether any relay answers, or none is needed. */
+  boolean isRelayReachable(ClockReading now) {
+    return relays.view().isFullMesh()
+        || peers.all().stream()
+            .anyMatch(p -> relays.view().contains(p.id()) && p.isReachable(maxEchoAge, now));
+  }
+
+  /** Returns the counted instances, including this one. */
+  List<Member> counted() {
+    return roster.members();
+  }
+
+  /** Returns whether a peer is to be sent a list of the known peers, because rosters differ. */
+  boolean isPeerListDue(InstanceId id, ClockReading now) {
+    return !relays.view().isFullMesh()
+        && peers
+            .peer(id)
+            .filter(peer -> isListPartner(peer, now) && agreement.isPeerListDue(peer, now))
+            .isPresent();
   }
 
-  private static boolean hasEchoWithin(Peer peer, Duration maxAge, ClockReading now) {
-    return peer.echoedHeartbeatSentAt
-        .filter(at -> now.since(at).compareTo(maxAge) <= 0)
-        .isPresent();
+  // A peer that counts too few instances to use relays learns of the others from each relay.
+  private boolean isListPartner(Peer peer, ClockReading now) {
+    if (peer.isInFullMesh(maxEchoAge, now)) {
+      return peer.canRelay && relays.isRelaying();
+    }
+    return relays.primary().filter(relay -> relay.id().equals(peer.id())).isPresent()
+        || relays.isPrimarySubscriber(peer, now)
+        || (relays.isRelaying() && relays.isRelay(peer, now));
+  }
+
+  /**
+   * Returns the peers that echoed a recent heartbeat over a connection that is still open.
+   *
+   * @param now the current time
+   * @return the reachable peers
+   */
+  PeerView reachablePeers(ClockReading now) {
+    Set<InstanceId> reachable =
+        peers.all().stream()
+            .filter(peer -> peer.isReachable(maxEchoAge, now))
+            .map(Peer::id)
+            .collect(Collectors.toSet());
+    return new PeerView(reachable, relays.view());
   }
 
   /**
@@ -377,33 +316,41 @@
    */
   FleetView updateFleet(ClockReading now) {
     List<Peer> answering =
-        peers.values().stream()
+        peers.all().stream()
             .filter(
                 peer ->
-                    hasEchoWithin(peer, DelegationPlan.LEASE_EXPIRY, now)
+                    peer.hasEchoWithin(DelegationPlan.LEASE_EXPIRY, now)
                         && roster.contains(peer.member.id()))
             .toList();
-    roster.update(answering.size(), now);
+    int answeringCount =
+        relays.view().isFullMesh() ? answering.size() : agreement.countAnswering(answering, now);
+    roster.update(answeringCount, now);
     int shares = roster.isShareUsable() ? roster.size() : 0;
     fleet =
         new FleetView(
             plan.update(holderCandidates(answering, now), id -> planState(id, now), shares, now),
             roster.size(),
             roster.awaitsRegistration(),
-            roster.findDeparted(answering.size(), now));
+            roster.findDeparted(answeringCount, now));
     return fleet;
   }
 
   /**
-   * Selects the candidate holders, without instances that have released their delegations.
+   * Selects the candidate holders, without instances that have released their delegations. Where
+   * there are relays and one of them answers, only relays are candidates, because instances keep
+   * links to these only.
    *
    * <p>If this instance is stopping, it releases its delegations only once another holder exists.
    */
   private List<Member> holderCandidates(List<Peer> answering, ClockReading now) {
-    List<Member> holders = new ArrayList<>();
-    answering.stream().filter(peer -> !peer.released).forEach(peer -> holders.add(peer.member));
+    List<Member> others =
+        answering.stream().filter(peer -> !peer.released).map(peer -> peer.member).toList();
+    List<Member> otherRelays =
+        others.stream().filter(member -> relays.view().contains(member.id())).toList();
+    boolean isHolder = otherRelays.isEmpty() || relays.view().contains(self.id());
+    List<Member> holders = new ArrayList<>(otherRelays.isEmpty() ? others : otherRelays);
     hasReleased = releaseAt.filter(at -> !now.isBefore(at)).isPresent() && !holders.isEmpty();
-    if (!hasReleased) {
+    if (!hasReleased && isHolder) {
       holders.add(self);
     }
     return holders;
@@ -412,7 +359,7 @@
   private Optional<DelegationPlan.PeerState> planState(InstanceId id, ClockReading now) {
     return id.equals(self.id())
         ? Optional.of(new DelegationPlan.PeerState(now, plan.version(), hasReleased))
-        : Optional.ofNullable(peers.get(id)).map(Peer::planState);
+        : peers.peer(id).map(Peer::planState);
   }
 
   /**
@@ -424,33 +371,4 @@
     // The token issuer on this instance must stop using the delegations before peers learn of it.
     releaseAt = releaseAt.or(() -> Optional.of(now.plus(DelegationPlan.MAX_APPLY_DELAY)));
   }
-
-  /**
-   * Removes instances that are not members and have been silent for {@link #NON_MEMBER_RETENTION}.
-   *
-   * <p>Instances counted by a complete roster stay, since they may still use their shares.
-   *
-   * @param now the current time
-   */
-  void removeSilentNonMembers(ClockReading now) {
-    peers
-        .entrySet()
-        .removeIf(
-            entry ->
-                !memberIds.contains(entry.getKey())
-                    && !(roster.isDirectoryKnown() && roster.contains(entry.getKey()))
-                    && now.since(entry.getValue().lastHeardAt).compareTo(NON_MEMBER_RETENTION) > 0);
-  }
-
-  /** Returns the latest description of a peer, or empty if the peer is unknown. */
-  Optional<Member> find(InstanceId id) {
-    return Optional.ofNullable(peers.get(id)).map(peer -> peer.member);
-  }
-
-  /** Returns the peer address of every known peer. */
-  Map<InstanceId, String> addresses() {
-    Map<InstanceId, String> addresses = new HashMap<>();
-    peers.forEach((id, peer) -> addresses.put(id, peer.member.peerAddress()));
-    return addresses;
-  }
 }
--- a/entry/src/test/java/org/bergamotcross/entry/catalog/CatalogDutyTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/catalog/CatalogDutyTest.java
@@ -354,7 +354,7 @@
       return switch (message) {
         case CatalogMessages.Update update -> new CatalogInput.UpdateReceived(id(from), update);
         case CatalogMessages.SettingsRead read ->
-            new CatalogInput.SettingsReadReceived(id(from), read);
+            new CatalogInput.SettingsReadReceived(id(from), id(from), read);
         case CatalogMessages.StoreUnavailable ignored ->
             new CatalogInput.StoreUnavailableReceived();
         case CatalogMessages.SyncRequest request ->
--- a/entry/src/test/java/org/bergamotcross/entry/peer/DelegationCodecTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/peer/DelegationCodecTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.Arrays;
 import java.util.List;
 import java.util.Set;
 import java.util.stream.IntStream;
@@ -53,6 +54,23 @@
       }
     }
 
+    @Test
+    void keepsTheRelaysOfALargeFleetInFewBytes() {
+      List<Member> large = members("a", 300);
+      Delegation sent =
+          new Delegation(
+              300,
+              new Members(-1, List.of(large.get(7), large.get(299))),
+              Set.of(large.get(7).id()));
+      DelegationAnnouncement announcement = new DelegationAnnouncement(sent, true, false);
+      byte[] bytes = codec.encode(announcement, large, true);
+      assertThat(bytes.length).isAtMost(13);
+      assertThat(codec.decode(bytes, large)).hasValue(announcement);
+      for (int length = 0; length < bytes.length; length++) {
+        codec.decode(Arrays.copyOf(bytes, length), large);
+      }
+    }
+
     @Test
     void keepsAnEmptyDelegation() {
       byte[] bytes =
--- a/entry/src/test/java/org/bergamotcross/entry/peer/PeerTableTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/peer/PeerTableTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.time.Duration;
 import java.util.List;
 import org.bergamotcross.core.membership.FailureDomain;
 import org.bergamotcross.core.membership.InstanceId;
@@ -19,12 +20,17 @@
   private static final long PEER_INCARNATION = 9;
 
   private final PeerTable table =
-      new PeerTable(member("a", OWN_INCARNATION), ClockReading.ofMillis(0));
+      new PeerTable(
+          member("a", OWN_INCARNATION), 0, 24, Duration.ofMillis(3_500), ClockReading.ofMillis(0));
 
   private static Member member(long incarnation) {
     return member(PEER.value(), incarnation);
   }
 
+  private static PeerMessages.Hello hello(long incarnation) {
+    return PeerMessages.Hello.of(member(incarnation), false);
+  }
+
   private static Member member(String id, long incarnation) {
     return new Member(new InstanceId(id), incarnation, new FailureDomain("d1"), "127.0.0.1:9");
   }
@@ -44,7 +50,7 @@
     // Guards against stale heartbeats counting as fresh when an instance reads them after a pause.
     @Test
     void areAsOldAsTheHeartbeatTheyEcho() {
-      table.recordIntroduction(member(PEER_INCARNATION), ClockReading.ofMillis(0));
+      table.known().recordIntroduction(hello(PEER_INCARNATION), ClockReading.ofMillis(0));
       sendHeartbeats(3);
       assertThat(
               table
@@ -61,7 +67,7 @@
     // Guards against a restarted instance that accepts echoes of its previous incarnation.
     @Test
     void ofAnEarlierIncarnationDoNotCount() {
-      table.recordIntroduction(member(PEER_INCARNATION), ClockReading.ofMillis(0));
+      table.known().recordIntroduction(hello(PEER_INCARNATION), ClockReading.ofMillis(0));
       sendHeartbeats(3);
       assertThat(
               table.recordHeartbeat(
@@ -75,9 +81,9 @@
 
     @Test
     void fromAnEarlierIncarnationOfThePeerDoNotCount() {
-      table.recordIntroduction(member(PEER_INCARNATION), ClockReading.ofMillis(0));
+      table.known().recordIntroduction(hello(PEER_INCARNATION), ClockReading.ofMillis(0));
       sendHeartbeats(3);
-      table.recordIntroduction(member(PEER_INCARNATION + 1), ClockReading.ofMillis(1500));
+      table.known().recordIntroduction(hello(PEER_INCARNATION + 1), ClockReading.ofMillis(1500));
       assertThat(
               table.recordHeartbeat(
                   PEER,
@@ -95,9 +101,11 @@
     // so each configuration still lists its previous incarnation.
     @Test
     void isHeardAfterAConfigurationThatNamesItsPredecessor() {
-      table.recordIntroduction(member(PEER_INCARNATION + 1), ClockReading.ofMillis(0));
-      table.updateMembers(
-          new Members(3, List.of(member(PEER_INCARNATION))), ClockReading.ofMillis(10));
+      table.known().recordIntroduction(hello(PEER_INCARNATION + 1), ClockReading.ofMillis(0));
+      table
+          .known()
+          .updateMembers(
+              new Members(3, List.of(member(PEER_INCARNATION))), ClockReading.ofMillis(10));
       sendHeartbeats(3);
       assertThat(
               table.recordHeartbeat(
@@ -111,10 +119,12 @@
 
     @Test
     void isReplacedByTheRecordWhenItIsSilent() {
-      table.recordIntroduction(member(PEER_INCARNATION), ClockReading.ofMillis(0));
-      table.updateMembers(
-          new Members(3, List.of(member(PEER_INCARNATION + 1))), ClockReading.ofMillis(30_001));
-      assertThat(table.find(PEER)).hasValue(member(PEER_INCARNATION + 1));
+      table.known().recordIntroduction(hello(PEER_INCARNATION), ClockReading.ofMillis(0));
+      table
+          .known()
+          .updateMembers(
+              new Members(3, List.of(member(PEER_INCARNATION + 1))), ClockReading.ofMillis(30_001));
+      assertThat(table.known().find(PEER)).hasValue(member(PEER_INCARNATION + 1));
     }
   }
 
@@ -122,17 +132,19 @@
   class Silence {
     @Test
     void forgetsInstancesThatAreNoMembers() {
-      table.recordIntroduction(member(PEER_INCARNATION), ClockReading.ofMillis(0));
-      table.removeSilentNonMembers(ClockReading.ofMillis(30_001));
-      assertThat(table.find(PEER)).isEmpty();
+      table.known().recordIntroduction(hello(PEER_INCARNATION), ClockReading.ofMillis(0));
+      table.known().removeSilentNonMembers(ClockReading.ofMillis(30_001));
+      assertThat(table.known().find(PEER)).isEmpty();
     }
 
     @Test
     void keepsMembers() {
-      table.updateMembers(
-          new Members(3, List.of(member(PEER_INCARNATION))), ClockReading.ofMillis(0));
-      table.removeSilentNonMembers(ClockReading.ofMillis(30_001));
-      assertThat(table.find(PEER)).isPresent();
+      table
+          .known()
+          .updateMembers(
+              new Members(3, List.of(member(PEER_INCARNATION))), ClockReading.ofMillis(0));
+      table.known().removeSilentNonMembers(ClockReading.ofMillis(30_001));
+      assertThat(table.known().find(PEER)).isPresent();
     }
   }
 
@@ -144,7 +156,7 @@
 
     @Test
     void replacesAnUnreadableDirectory() {
-      table.mergePeerList(peerList, ClockReading.ofMillis(0));
+      table.known().mergePeerList(PEER, peerList, ClockReading.ofMillis(0));
       assertThat(table.updateFleet(ClockReading.ofMillis(0)).instanceCount()).isEqualTo(2);
     }
 
@@ -152,9 +164,11 @@
     // directory lists this instance.
     @Test
     void doesNotReplaceADirectoryThatWasRead() {
-      table.applyDirectory(List.of(member(PEER_INCARNATION)), true, ClockReading.ofMillis(0));
-      table.recordIntroduction(member(PEER_INCARNATION), ClockReading.ofMillis(0));
-      table.mergePeerList(peerList, ClockReading.ofMillis(0));
+      table
+          .known()
+          .applyDirectory(List.of(member(PEER_INCARNATION)), true, ClockReading.ofMillis(0));
+      table.known().recordIntroduction(hello(PEER_INCARNATION), ClockReading.ofMillis(0));
+      table.known().mergePeerList(PEER, peerList, ClockReading.ofMillis(0));
       sendHeartbeats(3);
       table.recordHeartbeat(
           PEER,
@@ -173,10 +187,12 @@
     // its share of the retries and rates.
     @Test
     void isAsLargeWhenPeersAreSilentAndConnectionsEnd() {
-      table.applyDirectory(List.of(member(PEER_INCARNATION)), true, ClockReading.ofMillis(0));
-      table.recordIntroduction(member(PEER_INCARNATION), ClockReading.ofMillis(0));
-      table.markConnectionLost(member(PEER_INCARNATION).peerAddress());
-      table.removeSilentNonMembers(ClockReading.ofMillis(3_600_000));
+      table
+          .known()
+          .applyDirectory(List.of(member(PEER_INCARNATION)), true, ClockReading.ofMillis(0));
+      table.known().recordIntroduction(hello(PEER_INCARNATION), ClockReading.ofMillis(0));
+      table.recordLinkEnded(member(PEER_INCARNATION).peerAddress(), ClockReading.ofMillis(0));
+      table.known().removeSilentNonMembers(ClockReading.ofMillis(3_600_000));
       assertThat(table.updateFleet(ClockReading.ofMillis(3_600_000)).instanceCount()).isEqualTo(2);
     }
   }
--- a/entry/src/test/java/org/bergamotcross/entry/peer/SimulatedRateFleet.java
+++ b/entry/src/test/java/org/bergamotcross/entry/peer/SimulatedRateFleet.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
@@ -41,6 +42,11 @@
 
   private static final int HEARTBEAT_MS = 1_000;
   private static final int TICK_MS = 250;
+  private static final int STARTUP_TICK_MS = 100;
+  private static final int NEWS_DELAY_MS = 50;
+  private static final int LARGE_FLEET_STEP_MS = 4;
+  private static final int LINK_TIMEOUT_MS = 5_000;
+  private static final int SEEDS = 3;
   private static final Duration MAX_ECHO_AGE = Duration.ofMillis(3_500);
   private static final int DOMAINS = 4;
   private static final int WAIT_CAPACITY = 1_000;
@@ -49,7 +55,7 @@
   /** A message in transit, delivered at the given time or once the receiver runs again. */
   private record Delivery(int at, long order, int from, int to, Object content) {}
 
-  private record Hello(Member member) {}
+  private record Relayed(int from, int to, Object content) {}
 
   private record LinkEnded(String address) {}
 
@@ -61,8 +67,11 @@
   private final Set<List<Integer>> cutLinks = new HashSet<>();
   private final PriorityQueue<Delivery> network =
       new PriorityQueue<>(Comparator.comparingInt(Delivery::at).thenComparingLong(Delivery::order));
+  private final FrameCodec frames = new FrameCodec();
+  private final PeerCodec records = new PeerCodec();
   private final Random random;
   private final int domains;
+  private final int fullMeshLimit;
   private final List<Integer> admittedAt = new ArrayList<>();
   private final List<TokenOrigin> origins = new ArrayList<>();
   private double rate;
@@ -73,13 +82,20 @@
   private int requests;
   private int refused;
   private int millis = 100_000;
+  private boolean isTrafficMeasured;
 
   SimulatedRateFleet(int size, double rate, double burst, long seed) {
     this(size, DOMAINS, rate, burst, seed);
   }
 
   SimulatedRateFleet(int size, int domains, double rate, double burst, long seed) {
+    this(size, domains, Integer.MAX_VALUE, rate, burst, seed);
+  }
+
+  SimulatedRateFleet(
+      int size, int domains, int fullMeshLimit, double rate, double burst, long seed) {
     this.domains = domains;
+    this.fullMeshLimit = fullMeshLimit;
     this.rate = rate;
     this.burst = burst;
     this.random = new Random(seed);
@@ -121,6 +137,11 @@
     private PeerTable peers;
     private DelegatingRateLimiter rateLimiter;
     private FleetView fleet;
+    private final Map<Integer, Integer> linksOpenedAt = new TreeMap<>();
+    private int nextTickAt;
+    private int nextHeartbeatAt;
+    private long sentFrames;
+    private long sentBytes;
 
     Node(int index) {
       this.index = index;
@@ -141,34 +162,72 @@
       member =
           new Member(
               id(index), ++incarnations, new FailureDomain("d" + index % domains), "host-" + index);
-      peers = new PeerTable(member, now());
+      peers = new PeerTable(member, 0, fullMeshLimit, MAX_ECHO_AGE, now());
+      linksOpenedAt.clear();
+      nextTickAt = millis;
+      nextHeartbeatAt = millis;
       rateLimiter = new DelegatingRateLimiter(member.id(), WAIT_CAPACITY, TOLERANCE);
       fleet = FleetView.NONE;
       rateLimiter.configure(configuration(), now());
       readDirectory();
       for (Node other : nodes) {
-        if (other.index != index) {
-          send(other.index, new Hello(member));
+        if (other.index != index && (!usesRelays() || other.index < SEEDS)) {
+          send(other.index, PeerMessages.Hello.of(member, usesRelays()));
         }
       }
     }
 
+    private boolean usesRelays() {
+      return fullMeshLimit != Integer.MAX_VALUE;
+    }
+
     void receive(int from, Object content) {
       switch (content) {
-        case Hello hello -> {
+        case PeerMessages.Hello hello -> {
           boolean isNew =
               peers
+                  .known()
                   .find(hello.member().id())
                   .filter(known -> known.incarnation() == hello.member().incarnation())
                   .isEmpty();
-          peers.recordIntroduction(hello.member(), now());
-          if (isNew) {
+          boolean isNewOnLink = peers.known().recordIntroduction(hello, now());
+          if (usesRelays()) {
+            maintainLinks();
+            nextTickAt = Math.min(nextTickAt, millis + NEWS_DELAY_MS);
+          }
+          if (hello.asksForPeers()) {
+            send(from, peers.known().peerList(hello.member().id(), now()));
+          }
+          if (usesRelays() ? isNewOnLink : isNew) {
             rateLimiter.onPeerRestart(hello.member().id(), now());
-            send(from, new Hello(member));
+            if (!usesRelays()) {
+              send(from, PeerMessages.Hello.of(member, false));
+            }
             sendHeartbeat(hello.member().id());
           }
         }
-        case LinkEnded link -> peers.markConnectionLost(link.address());
+        case PeerMessages.PeerList list -> {
+          peers.known().mergePeerList(id(from), list, now());
+          nextTickAt = Math.min(nextTickAt, millis + NEWS_DELAY_MS);
+        }
+        case PeerMessages.Introductions news -> {
+          peers
+              .known()
+              .mergeIntroductions(id(from), news.instances(), now())
+              .forEach(id -> rateLimiter.onPeerRestart(id, now()));
+          nextTickAt = Math.min(nextTickAt, millis + NEWS_DELAY_MS);
+        }
+        case Relayed relayed -> {
+          if (relayed.to() == index) {
+            receive(relayed.from(), relayed.content());
+          } else if (linksOpenedAt.containsKey(relayed.to())) {
+            send(relayed.to(), relayed);
+          }
+        }
+        case LinkEnded link -> {
+          linksOpenedAt.remove(from);
+          peers.recordLinkEnded(link.address(), now());
+        }
         case HeartbeatFrom message -> handleHeartbeat(message.sender(), message.heartbeat());
         case Record message -> rateLimiter.onMessage(id(from), message, now());
         default -> throw new IllegalArgumentException("unknown message " + content);
@@ -176,11 +235,17 @@
     }
 
     void run() {
-      int age = millis - startedAtMillis;
-      if (age % TICK_MS == 0) {
-        tick(age);
+      if (usesRelays()) {
+        if (millis >= nextTickAt) {
+          tickWithRelays();
+        }
+      } else if ((millis - startedAtMillis) % TICK_MS == 0) {
+        tick(millis - startedAtMillis);
+      }
+      // Steps of all instances in each millisecond are nearly all of the time of a large fleet.
+      if (!usesRelays() || (millis + index) % LARGE_FLEET_STEP_MS == 0) {
+        applyOutput(rateLimiter.step(now()));
       }
-      applyOutput(rateLimiter.step(now()));
     }
 
     private void handleHeartbeat(Member sender, PeerMessages.Heartbeat heartbeat) {
@@ -191,13 +256,70 @@
               echo ->
                   rateLimiter.onDelegation(
                       sender, echo.delegation(), echo.heartbeatSentAt(), now()));
+      if (peers.isPeerListDue(sender.id(), now())) {
+        send(index(sender.id()), peers.known().peerList(sender.id(), now()));
+      }
       if (heartbeat.echoSequence() == 0) {
         sendHeartbeat(sender.id());
       }
     }
 
+    private void tickWithRelays() {
+      peers.known().removeSilentNonMembers(now());
+      PeerTable.RelayUpdate update = peers.updateRelays(now());
+      maintainLinks();
+      byte[] before = peers.encodedDelegation();
+      boolean awaitedRegistration = fleet.awaitsRegistration();
+      fleet = peers.updateFleet(now());
+      rateLimiter.setOwnDelegation(fleet.delegation(), now());
+      boolean isDelegationChanged =
+          fleet.delegation().shares() > 0 && !Arrays.equals(before, peers.encodedDelegation());
+      if (isDelegationChanged || update.isUrgent() || millis >= nextHeartbeatAt) {
+        linksOpenedAt.keySet().forEach(i -> sendHeartbeat(id(i)));
+        nextHeartbeatAt = millis + HEARTBEAT_MS;
+      }
+      peers.known().takeIntroductions(now()).forEach((id, message) -> send(index(id), message));
+      rateLimiter.setPeerView(peers.reachablePeers(now()));
+      if (fleet.awaitsRegistration() && !awaitedRegistration && !storeUnavailable) {
+        directory.put(index, member);
+        readDirectory();
+      }
+      nextTickAt = millis + (peers.isShareUsable() ? TICK_MS : STARTUP_TICK_MS);
+    }
+
+    private void maintainLinks() {
+      Set<Integer> wanted = new TreeSet<>();
+      peers.linkedAddresses(now()).keySet().forEach(id -> wanted.add(index(id)));
+      if (!peers.isRelayReachable(now()) || peers.relays().view().isFullMesh()) {
+        IntStream.range(0, SEEDS).filter(i -> i != index).forEach(wanted::add);
+      }
+      linksOpenedAt.keySet().retainAll(wanted);
+      for (int other : wanted) {
+        boolean isStale =
+            linksOpenedAt.containsKey(other)
+                && millis - linksOpenedAt.get(other) > LINK_TIMEOUT_MS
+                && !peers.reachablePeers(now()).reachable().contains(id(other));
+        if (isStale) {
+          receive(other, new LinkEnded("host-" + other));
+        }
+        if (!linksOpenedAt.containsKey(other)) {
+          openLink(other);
+        }
+      }
+    }
+
+    private void openLink(int other) {
+      linksOpenedAt.put(other, millis);
+      boolean isOnDemand = !peers.recordLinkOpened("host-" + other, now()) && other >= SEEDS;
+      if (nodes.get(other).up) {
+        send(other, PeerMessages.Hello.of(member, 0, true, other < SEEDS, isOnDemand));
+      } else {
+        receive(other, new LinkEnded("host-" + other));
+      }
+    }
+
     private void tick(int age) {
-      peers.removeSilentNonMembers(now());
+      peers.known().removeSilentNonMembers(now());
       byte[] before = peers.encodedDelegation();
       boolean awaitedRegistration = fleet.awaitsRegistration();
       fleet = peers.updateFleet(now());
@@ -205,9 +327,9 @@
       boolean isDelegationChanged =
           fleet.delegation().shares() > 0 && !Arrays.equals(before, peers.encodedDelegation());
       if (isDelegationChanged || age % HEARTBEAT_MS == 0) {
-        peers.addresses().keySet().forEach(this::sendHeartbeat);
+        peers.known().addresses().keySet().forEach(this::sendHeartbeat);
       }
-      rateLimiter.setPeerView(peers.reachablePeers(MAX_ECHO_AGE, now()));
+      rateLimiter.setPeerView(peers.reachablePeers(now()));
       if (fleet.awaitsRegistration() && !awaitedRegistration && !storeUnavailable) {
         directory.put(index, member);
         readDirectory();
@@ -218,7 +340,7 @@
       if (!storeUnavailable) {
         List<Member> others =
             directory.values().stream().filter(m -> !m.id().equals(member.id())).toList();
-        peers.applyDirectory(others, directory.containsKey(index), now());
+        peers.known().applyDirectory(others, directory.containsKey(index), now());
       }
     }
 
@@ -235,10 +357,21 @@
     }
 
     private void applyOutput(RateLimiterOutput output) {
-      output.messages().forEach(m -> send(index(m.to()), m.message()));
+      output.messages().forEach(m -> sendThroughRelay(index(m.to()), m.message()));
       output.completedWaits().forEach(wait -> count(wait.decision()));
     }
 
+    private void sendThroughRelay(int to, Object content) {
+      if (!usesRelays() || to == index || linksOpenedAt.containsKey(to)) {
+        send(to, content);
+      } else {
+        peers
+            .relays()
+            .primary()
+            .ifPresent(relay -> send(index(relay.id()), new Relayed(index, to, content)));
+      }
+    }
+
     private void count(RateDecision decision) {
       switch (decision) {
         case RateDecision.Admitted admitted -> {
@@ -251,6 +384,8 @@
     }
 
     private void send(int to, Object content) {
+      sentFrames++;
+      sentBytes += isTrafficMeasured ? frameLength(member, content) : 0;
       boolean lost = cutLinks.contains(List.of(index, to)) || random.nextDouble() < loss;
       if (!lost) {
         int latency = index % domains == to % domains ? 1 : 2;
@@ -341,7 +476,11 @@
       for (Node other : nodes) {
         if (other.index != node.index && node.up) {
           node.receive(other.index, new LinkEnded("host-" + other.index));
-          node.send(other.index, new Hello(node.member));
+          if (node.usesRelays()) {
+            node.nextTickAt = millis;
+          } else {
+            node.send(other.index, PeerMessages.Hello.of(node.member, false));
+          }
         }
       }
     }
@@ -411,6 +550,48 @@
 
   // ---- results
 
+  private int frameLength(Member sender, Object content) {
+    return switch (content) {
+      case HeartbeatFrom message -> frameLength(sender, frames.encode(message.heartbeat()));
+      case Relayed relayed -> frameLength(sender, relayed.content());
+      case Record message -> frameLength(sender, records.encode(message));
+      default -> 0;
+    };
+  }
+
+  private int frameLength(Member sender, byte[] body) {
+    Envelope envelope = new Envelope("beat", sender.id().value(), sender.incarnation(), body);
+    return Integer.BYTES + frames.encode(envelope).length;
+  }
+
+  /** The frames and bytes that an instance sends in a time. */
+  record Traffic(long frames, long bytes) {}
+
+  /** Advances the simulation without requests and returns the most that a leaf sends meanwhile. */
+  Traffic maxLeafTraffic(int forMs) {
+    nodes.forEach(node -> node.sentFrames = 0);
+    nodes.forEach(node -> node.sentBytes = 0);
+    isTrafficMeasured = true;
+    advance(forMs, 0);
+    isTrafficMeasured = false;
+    List<Node> leaves = nodes.stream().filter(n -> !n.peers.relays().isRelaying()).toList();
+    return new Traffic(
+        leaves.stream().mapToLong(node -> node.sentFrames).max().orElseThrow(),
+        leaves.stream().mapToLong(node -> node.sentBytes).max().orElseThrow());
+  }
+
+  /** Returns the number of instances that relay. */
+  long relayCount() {
+    return nodes.stream().filter(node -> node.peers.relays().isRelaying()).count();
+  }
+
+  /** Returns whether all running instances use their share and see the same relays. */
+  boolean isSettled() {
+    List<Node> running = nodes.stream().filter(Node::runs).toList();
+    return running.stream().allMatch(node -> node.peers.isShareUsable())
+        && running.stream().map(node -> node.peers.relays().view()).distinct().count() == 1;
+  }
+
   int size() {
     return nodes.size();
   }
