--- a/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogDuty.java
+++ b/entry/src/main/java/org/bergamotcross/entry/catalog/CatalogDuty.java
@@ -88,7 +88,7 @@
       case CatalogInput.PeersChanged changed -> onPeersChanged(changed.view(), now);
       case CatalogInput.UpdateReceived update -> onUpdate(update.from(), update.message(), now);
       case CatalogInput.SettingsReadReceived read ->
-          onPeerReadSettings(read.from(), read.message(), now);
+          onPeerReadSettings(read.from(), read.via(), read.message(), now);
       case CatalogInput.StoreUnavailableReceived ignored -> store.recordPeerFailure(now);
       case CatalogInput.SyncRequestReceived request ->
           onSyncRequest(request.from(), request.message(), now);
@@ -222,13 +222,13 @@
   }
 
   private void onPeerReadSettings(
-      InstanceId from, CatalogMessages.SettingsRead message, ClockReading now) {
+      InstanceId from, InstanceId via, CatalogMessages.SettingsRead message, ClockReading now) {
     recordPeerEra(message.era(), from, now);
     if (readSchedule.isPreceding(peers, from)) {
       settings.recordPrecedingRead(now);
     }
     if (settings.isBehind(message.settingsVersion(), message.settingsEnd())) {
-      requestSync(from, now);
+      requestSync(via, now);
     }
   }
 
--- a/entry/src/test/java/org/bergamotcross/entry/catalog/SimulatedFleet.java
+++ b/entry/src/test/java/org/bergamotcross/entry/catalog/SimulatedFleet.java
@@ -139,7 +139,7 @@
     return switch (message) {
       case CatalogMessages.Update update -> new CatalogInput.UpdateReceived(id(from), update);
       case CatalogMessages.SettingsRead read ->
-          new CatalogInput.SettingsReadReceived(id(from), read);
+          new CatalogInput.SettingsReadReceived(id(from), id(from), read);
       case CatalogMessages.StoreUnavailable ignored -> new CatalogInput.StoreUnavailableReceived();
       case CatalogMessages.SyncRequest request ->
           new CatalogInput.SyncRequestReceived(id(from), request);
--- a/entry/src/test/java/org/bergamotcross/entry/catalog/StoreRestoreTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/catalog/StoreRestoreTest.java
@@ -195,7 +195,9 @@
           .inbox
           .add(
               new CatalogInput.SettingsReadReceived(
-                  SimulatedFleet.id(1), new CatalogMessages.SettingsRead(1, 0, 0)));
+                  SimulatedFleet.id(1),
+                  SimulatedFleet.id(1),
+                  new CatalogMessages.SettingsRead(1, 0, 0)));
       fleet.advance(1_000);
       assertThat(node().version).isEqualTo(1);
     }
