--- a/entry/src/main/java/org/bergamotcross/entry/EntrySettings.java
+++ b/entry/src/main/java/org/bergamotcross/entry/EntrySettings.java
@@ -147,13 +147,16 @@
           .orDefault(Integer.toString(NO_FULL_MESH_LIMIT));
 
   /** The share of a core that the instance may use. */
-  public static final Setting<OptionalDouble> PROCESSOR_SHARE = optionalDecimal("processor-share");
+  public static final Setting<OptionalDouble> PROCESSOR_SHARE =
+      machineLimit("processor-share", "INSTANCE_PROCESSOR_SHARE");
 
   /** How many times as fast as usual the core of the instance is. */
-  public static final Setting<OptionalDouble> PROCESSOR_SPEED = optionalDecimal("processor-speed");
+  public static final Setting<OptionalDouble> PROCESSOR_SPEED =
+      machineLimit("processor-speed", "INSTANCE_PROCESSOR_SPEED");
 
   /** The bandwidth of the instance's network link in Mbit/s. */
-  public static final Setting<OptionalDouble> LINK_MBPS = optionalDecimal("link-mbps");
+  public static final Setting<OptionalDouble> LINK_MBPS =
+      machineLimit("link-mbps", "INSTANCE_LINK_MBPS");
 
   private static final double MAX_CAPACITY = 1_000_000;
   private static final double CAPACITY_PER_CORE = 1_000;
@@ -187,13 +190,14 @@
             settings.value(SCHEDULING_CONDITIONS), settings.value(SCHEDULING_FAIR_UNDER));
   }
 
-  private static Setting<OptionalDouble> optionalDecimal(String key) {
+  /** Declares a limit of the machine whose default is an environment variable. */
+  private static Setting<OptionalDouble> machineLimit(String key, String variable) {
     Setting<Double> decimal = Setting.decimal("instance", key, 0, MAX_CAPACITY);
     return new Setting<>(
         "instance",
         key,
         decimal.expected() + ", or nothing if unknown",
-        Optional.of(""),
+        Optional.of(Optional.ofNullable(System.getenv(variable)).orElse("")),
         text ->
             text.isEmpty()
                 ? Optional.of(OptionalDouble.empty())
