Close connections that were opened a moment ago last

What callers saw: while a crowd that reads nothing fills the bound for callers' connections, an ordinary caller's new connection was reset before its first request, because idle connections were closed before others had paused for a second. Idle connections of less than a second are now the last choice. CallerMemoryTest.sparesANewConnectionWhileOthersAreInsideMessages failed before.

--- a/entry/src/main/java/org/bergamotcross/entry/http/CallerMemory.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/CallerMemory.java
@@ -20,7 +20,9 @@
  * may wait for its caller.
  *
  * <p>When the bound is reached, a connection that waits for its caller is closed, the longest
- * waiting first: one that is inside a request or a response, then one between two requests.
+ * waiting first: one that is inside a request or a response, then one between two requests. A
+ * connection that has been idle for a moment only is the last choice, because its first request may
+ * be on its way.
  */
 final class CallerMemory {
   /** Why a connection is closed. */
@@ -128,11 +130,12 @@
 
   private boolean makeRoom(Connection newest, ClockReading now) {
     while (heldBytes.get() > maxBytes || connections.size() > maxConnections) {
+      Predicate<Connection> pausesLong = c -> c.waited(now).compareTo(SHORT_PAUSE) > 0;
       Optional<Connection> victim =
-          longestWaiting(
-                  newest, now, c -> c.isInsideMessage() && c.waited(now).compareTo(SHORT_PAUSE) > 0)
-              .or(() -> longestWaiting(newest, now, Connection::isIdle))
-              .or(() -> longestWaiting(newest, now, Connection::isInsideMessage));
+          longestWaiting(newest, now, pausesLong.and(Connection::isInsideMessage))
+              .or(() -> longestWaiting(newest, now, pausesLong.and(Connection::isIdle)))
+              .or(() -> longestWaiting(newest, now, Connection::isInsideMessage))
+              .or(() -> longestWaiting(newest, now, Connection::isIdle));
       if (victim.isEmpty()) {
         return false;
       }
--- a/entry/src/test/java/org/bergamotcross/entry/http/CallerMemoryTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/http/CallerMemoryTest.java
@@ -79,6 +79,18 @@
       assertThat(closed).containsExactly("idle");
     }
 
+    // Guards against a crowd that arrives within a second and makes every new caller lose its
+    // connection before its first request arrives.
+    @Test
+    void sparesANewConnectionWhileOthersAreInsideMessages() {
+      open("reads nothing", true, 9).orElseThrow().unread(10_000, at(10));
+      open("sends nothing", true, 9).orElseThrow().awaitsRest(true, at(10));
+      open("just opened", false, 10);
+      assertThat(open("new", false, 10)).isPresent();
+      assertThat(closed).doesNotContain("just opened");
+      assertThat(closed).hasSize(1);
+    }
+
     // A request that waits for its target may have run; its caller would be told nothing.
     @Test
     void neverTakesARequestThatWaitsForItsTarget() {
