--- a/entry/src/test/java/org/bergamotcross/entry/path/InvalidStatusTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/path/InvalidStatusTest.java
@@ -4,8 +4,10 @@
 
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against a status that HTTP does not allow and that a caller gets as an answer. */
@@ -25,32 +27,34 @@
                 requests.getAndIncrement() == 0 ? response(status) : RawTarget.ok("well")));
   }
 
+  static Stream<String> invalidStatuses() {
+    return Stream.of(
+        "000 Status",
+        "000",
+        "000 ",
+        "0 Status",
+        "00 Status",
+        "099 Status",
+        "099",
+        "99 Status",
+        "20 Status",
+        "2000 Status",
+        "600 Status",
+        "600",
+        "700 Status",
+        "999 Status",
+        "999",
+        "2x0 Status",
+        "abc Status",
+        "-200 Status",
+        "101 Switching Protocols",
+        " 200 Status");
+  }
+
   @Nested
   class OfARequestThatMayBeRepeated {
     @ParameterizedTest
-    @ValueSource(
-        strings = {
-          "000 Status",
-          "000",
-          "000 ",
-          "0 Status",
-          "00 Status",
-          "099 Status",
-          "099",
-          "99 Status",
-          "20 Status",
-          "2000 Status",
-          "600 Status",
-          "600",
-          "700 Status",
-          "999 Status",
-          "999",
-          "2x0 Status",
-          "abc Status",
-          "-200 Status",
-          "101 Switching Protocols",
-          " 200 Status"
-        })
+    @MethodSource("org.bergamotcross.entry.path.InvalidStatusTest#invalidStatuses")
     void isRetried(String status) throws Exception {
       try (RawTarget target = target(status);
           EntryInstance entry = EntryInstance.start(List.of(target.port()));
@@ -64,29 +68,7 @@
   @Nested
   class OfARequestThatMayNotBeRepeated {
     @ParameterizedTest
-    @ValueSource(
-        strings = {
-          "000 Status",
-          "000",
-          "000 ",
-          "0 Status",
-          "00 Status",
-          "099 Status",
-          "099",
-          "99 Status",
-          "20 Status",
-          "2000 Status",
-          "600 Status",
-          "600",
-          "700 Status",
-          "999 Status",
-          "999",
-          "2x0 Status",
-          "abc Status",
-          "-200 Status",
-          "101 Switching Protocols",
-          " 200 Status"
-        })
+    @MethodSource("org.bergamotcross.entry.path.InvalidStatusTest#invalidStatuses")
     void leavesTheOutcomeUnknown(String status) throws Exception {
       try (RawTarget target = target(status);
           EntryInstance entry = EntryInstance.start(List.of(target.port()));
