--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,3 +7,4 @@
 rm -rf target/review-2
 mkdir -p target/review-2
 "$java_home/bin/javac" -nowarn -d target/review-2 review/standins-2/review2/*.java
+cp review/standins-2/wire.properties target/review-2/
--- a/review/standins-2/review2/Backend.java
+++ b/review/standins-2/review2/Backend.java
@@ -18,8 +18,7 @@
     boolean answer(Message request, OutputStream out, Socket channel) throws Exception;
   }
 
-  static final String ID_HEADER = "X-Bergamotcross-Attempt-Id";
-  static final String SEAL_HEADER = "X-Bergamotcross-Server-Seal";
+  private static final long BORN = System.currentTimeMillis() - 60_000;
 
   final String id;
   private final ServerSocket listener;
@@ -41,25 +40,20 @@
   /** Writes the backend's entry into the store, as a heartbeat does. */
   void register(Store store, String service, int slots, long sequence) {
     store.write(
-        "keyed.servers",
+        Wire.name("topic.backends"),
         id,
-        ("{\"address\":\"127.0.0.1:%d\",\"born\":%d,\"info\":{\"service\":\"%s\",\"version\":\"v1\","
-                + "\"zone\":\"z1\",\"slots\":%d},\"status\":{\"state\":\"ready\",\"seq_no\":%d,"
-                + "\"warmup_left\":\"0ms\"}}")
-            .formatted(port(), BORN, service, slots, sequence));
+        Wire.name("entry.backend").formatted(port(), BORN, service, slots, sequence));
   }
 
-  private static final long BORN = System.currentTimeMillis() - 60_000;
-
   /** The bytes of a complete response. */
   static byte[] response(Message request, String status, String seal, byte[] body, String extra) {
     byte[] head =
         ("HTTP/1.1 %s\r\n%s: %s\r\n%s: %s\r\n%sContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n")
             .formatted(
                 status,
-                ID_HEADER,
-                request.header(ID_HEADER.toLowerCase()),
-                SEAL_HEADER,
+                Wire.ATTEMPT_ID,
+                request.id(),
+                Wire.SEAL,
                 seal,
                 extra,
                 body.length)
@@ -76,7 +70,7 @@
     out.write(
         ("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal\r\nContent-Type: text/plain\r\n"
                 + "Transfer-Encoding: chunked\r\n\r\n")
-            .formatted(ID_HEADER, request.header(ID_HEADER.toLowerCase()), SEAL_HEADER)
+            .formatted(Wire.ATTEMPT_ID, request.id(), Wire.SEAL)
             .getBytes(StandardCharsets.US_ASCII));
     for (int from = 0; from < body.length; from += chunkBytes) {
       int length = Math.min(chunkBytes, body.length - from);
--- a/review/standins-2/review2/Entry.java
+++ b/review/standins-2/review2/Entry.java
@@ -36,7 +36,7 @@
             Map.entry("zone", "z1"),
             Map.entry("listen.front", "127.0.0.1:" + callers),
             Map.entry("listen.control", "127.0.0.1:" + peers),
-            Map.entry("listen.ready_addr", "127.0.0.1:" + operations),
+            Map.entry(Wire.name("placeholder.ready-address"), "127.0.0.1:" + operations),
             Map.entry("platform.address", "127.0.0.1:" + store.port()),
             Map.entry("seeds", seeds),
             Map.entry("bounds.retry_budget_ratio", "0.2"),
--- a/review/standins-2/review2/GaveUp.java
+++ b/review/standins-2/review2/GaveUp.java
@@ -40,13 +40,13 @@
     AtomicInteger late = new AtomicInteger();
     List<Backend> backends = new ArrayList<>();
     try (Store store = new Store()) {
-      Operator.publish(store, "00000007");
+      store.publishConfiguration();
       for (int i = 1; i <= BACKENDS; i++) {
         Backend backend =
             new Backend(
                 "i-orders-" + i,
                 (request, out, channel) -> {
-                  String id = request.header("x-bergamotcross-attempt-id");
+                  String id = request.id();
                   Long closed = closedAt.get(id);
                   long since = closed == null ? 0 : (System.nanoTime() - closed) / 1_000_000L;
                   if (closed != null) {
@@ -88,7 +88,7 @@
               () -> {
                 try (Consumer consumer = new Consumer(entry.callers)) {
                   consumer.timeout(DEADLINE_MS + 2_000);
-                  consumer.send("POST", "/order/new", id, DEADLINE_MS, "", new byte[BODY_BYTES]);
+                  consumer.send("POST", "/order/new", id, DEADLINE_MS, new byte[BODY_BYTES]);
                   if (leaves) {
                     Thread.sleep(LEAVES_AFTER_MS);
                     consumer.close();
--- a/review/standins-2/review2/Message.java
+++ b/review/standins-2/review2/Message.java
@@ -15,6 +15,16 @@
     return headers.getOrDefault(name, "");
   }
 
+  /** The id of the consumer's attempt. */
+  String id() {
+    return header(Wire.ATTEMPT_ID.toLowerCase());
+  }
+
+  /** The seal of the backend that made a response. */
+  String seal() {
+    return header(Wire.SEAL.toLowerCase());
+  }
+
   /** The status of a response. */
   int status() {
     return Integer.parseInt(startLine.split(" ")[1]);
--- a/review/standins-2/review2/SlowConsumer.java
+++ b/review/standins-2/review2/SlowConsumer.java
@@ -33,12 +33,12 @@
     }
   }
 
+  private static final int DEADLINE_MS = 20_000;
+
   private SlowConsumer() {}
 
   private static String request(String path, String id) {
-    return ("GET %s HTTP/1.1\r\nHost: shop.example\r\nX-Bergamotcross-Attempt-Id: %s\r\n"
-            + "X-Bergamotcross-Deadline-Ms: 20000\r\nAuthorization: Bearer key-of-tenant-a\r\n\r\n")
-        .formatted(path, id);
+    return Wire.requestHead("GET", path, id, DEADLINE_MS) + "\r\n";
   }
 
   /**
--- a/review/standins-2/review2/SlowReaders.java
+++ b/review/standins-2/review2/SlowReaders.java
@@ -39,7 +39,7 @@
     Set<String> ran = ConcurrentHashMap.newKeySet();
     List<Backend> backends = new ArrayList<>();
     try (Store store = new Store()) {
-      Operator.publish(store, "00000007");
+      store.publishConfiguration();
       for (int i = 1; i <= BACKENDS; i++) {
         Backend backend = new Backend("i-records-" + i, (r, out, channel) -> answer(r, out, ran));
         backend.register(store, "records", SLOTS, 1);
@@ -55,7 +55,7 @@
 
   private static boolean answer(Message request, OutputStream out, Set<String> ran)
       throws Exception {
-    ran.add(request.header("x-bergamotcross-attempt-id"));
+    ran.add(request.id());
     if (!request.path().startsWith("/read/large/")) {
       out.write(Backend.response(request, "200 OK", "seal", "small".getBytes(), ""));
       return true;
--- a/review/standins-2/review2/SlowStop.java
+++ b/review/standins-2/review2/SlowStop.java
@@ -34,7 +34,7 @@
 
   private static boolean answer(Message request, OutputStream out, Set<String> ran)
       throws Exception {
-    ran.add(request.header("x-bergamotcross-attempt-id"));
+    ran.add(request.id());
     String path = request.path();
     if (path.startsWith("/read/large/")) {
       int length = Integer.parseInt(path.substring("/read/large/".length()));
@@ -49,7 +49,7 @@
     Set<String> ran = ConcurrentHashMap.newKeySet();
     List<Backend> backends = new ArrayList<>();
     try (Store store = new Store()) {
-      Operator.publish(store, "00000007");
+      store.publishConfiguration();
       for (int i = 1; i <= 4; i++) {
         Backend backend = new Backend("i-records-" + i, (r, out, channel) -> answer(r, out, ran));
         backend.register(store, "records", 4, 1);
--- a/review/standins-2/review2/StaleBytes.java
+++ b/review/standins-2/review2/StaleBytes.java
@@ -46,7 +46,7 @@
     try (Store store = new Store();
         Backend faulty = new Backend("i-orders-1", (r, out, c) -> answer("i-orders-1", r, out, trouble));
         Backend sound = new Backend("i-orders-2", (r, out, c) -> answer("i-orders-2", r, out, false))) {
-      Operator.publish(store, "00000007");
+      store.publishConfiguration();
       faulty.register(store, "orders", 4, 1);
       sound.register(store, "orders", 4, 1);
       try (Entry entry = Entry.start("front-1", store, temporary)) {
@@ -63,7 +63,7 @@
 
   private boolean answer(String backend, Message request, OutputStream out, boolean faulty)
       throws Exception {
-    String id = request.header("x-bergamotcross-attempt-id");
+    String id = request.id();
     int number = seals.incrementAndGet();
     boolean fails = mixed && number % 2 == 0;
     String status = fails ? "500 Internal Server Error" : "200 OK";
@@ -91,13 +91,13 @@
   private boolean order(Entry entry, String id) throws Exception {
     try (Consumer consumer = new Consumer(entry.callers)) {
       consumer.timeout(10_000);
-      consumer.send("POST", "/order/new", id, 8_000, "", "one pane".getBytes());
+      consumer.send("POST", "/order/new", id, 8_000, "one pane".getBytes());
       Message answer = consumer.answer();
       if (answer == null) {
         record.line("consumer got no answer to %s", id);
         return false;
       }
-      String seal = answer.header("x-bergamotcross-server-seal");
+      String seal = answer.seal();
       record.line("consumer got %s to %s, seal %s", answer.startLine(), id, seal);
       List<Run> ran = runs.getOrDefault(id, List.of());
       if (!mixed) {
--- a/review/standins-2/review2/Store.java
+++ b/review/standins-2/review2/Store.java
@@ -24,15 +24,12 @@
   private final Map<String, List<Entry>> topics = new HashMap<>();
   private final HttpServer server;
 
-  /** While set, calls get no answer, then or later. */
-  volatile boolean silent;
-
   Store() throws IOException {
     server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
     server.setExecutor(Executors.newVirtualThreadPerTaskExecutor());
-    server.createContext("/v1/log-read", exchange -> answer(exchange, this::read));
-    server.createContext("/v1/log-newest", exchange -> answer(exchange, this::newest));
-    server.createContext("/v1/log-append", exchange -> answer(exchange, this::append));
+    server.createContext(Wire.name("call.read"), exchange -> answer(exchange, this::read));
+    server.createContext(Wire.name("call.newest"), exchange -> answer(exchange, this::newest));
+    server.createContext(Wire.name("call.append"), exchange -> answer(exchange, this::append));
     server.start();
   }
 
@@ -40,6 +37,11 @@
     return server.getAddress().getPort();
   }
 
+  /** Publishes the configuration as the operator does. */
+  void publishConfiguration() {
+    write(Wire.name("topic.configuration"), "config", Wire.name("configuration"));
+  }
+
   /** Writes a record as the operator or a backend does. */
   synchronized void write(String topic, String key, String value) {
     topic(topic).add(new Entry(key, value.getBytes(StandardCharsets.UTF_8)));
@@ -54,16 +56,13 @@
     byte[] run(Map<String, String> query, byte[] body) throws IOException, InterruptedException;
   }
 
-  private void answer(HttpExchange exchange, Call call) throws IOException {
+  private static void answer(HttpExchange exchange, Call call) throws IOException {
     Map<String, String> query = new HashMap<>();
     for (String pair : exchange.getRequestURI().getQuery().split("&")) {
       int equals = pair.indexOf('=');
       query.put(pair.substring(0, equals), pair.substring(equals + 1));
     }
     byte[] body = exchange.getRequestBody().readAllBytes();
-    if (silent) {
-      return;
-    }
     try {
       byte[] response = call.run(query, body);
       exchange.getResponseHeaders().set("Store-Era", "1");
