Reject responses with a chunk size that is no number

What callers saw: a target that wrote a chunk size of blanks ended the body there, and the caller got 200 with the part before it. A size with a blank between its digits was read as one number.

Cause: Pekko's parser skips blanks in a chunk size and reads a line of blanks as 0, which is the last chunk. Responses had no check of their own, unlike the requests of callers.

Change: ResponseValidator follows the bytes of a connection to a target before Pekko parses them: heads, bodies and chunks. It only refuses: an invalid size fails the connection, which counts as a response that was broken off. The request is retried if it may be repeated, and otherwise answered target-failed with the outcome unknown. Bytes of the same read behind a complete response are not checked, so that the response is not lost. The parser of size lines is shared with RequestFramer.

--- /dev/null
+++ b/entry/src/main/java/org/bergamotcross/entry/framing/ResponseHead.java
@@ -0,0 +1,91 @@
+package org.bergamotcross.entry.framing;
+
+import java.util.HashSet;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Collects what the lines of a response head say about the body. Not thread-safe. */
+final class ResponseHead {
+  private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] ([1-5][0-9]{2})( .*)?");
+  // Digits that fit into a long.
+  private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
+  private static final int FIRST_FINAL_STATUS = 200;
+  private static final Set<Integer> STATUSES_WITHOUT_BODY = Set.of(204, 205, 304);
+
+  private final Set<Long> lengths = new HashSet<>();
+  private Optional<Integer> status = Optional.empty();
+  private boolean chunked;
+
+  /**
+   * Reads the next line.
+   *
+   * @param received the line up to its line feed, with one character for each byte
+   * @throws InvalidResponseException if the line has no place in a head
+   */
+  void add(String received) throws InvalidResponseException {
+    String line = received.endsWith("\r") ? received.substring(0, received.length() - 1) : received;
+    if (status.isEmpty()) {
+      readStatusLine(line);
+    } else {
+      readField(line);
+    }
+  }
+
+  /**
+   * Tells what follows the head. All its lines must have been added.
+   *
+   * @param bodyExpected false if the request was a HEAD request, whose response has no body
+   * @return the framing
+   * @throws InvalidResponseException if there was no line
+   */
+  ResponseFraming framing(boolean bodyExpected) throws InvalidResponseException {
+    int code =
+        status.orElseThrow(() -> new InvalidResponseException("the head has no status line"));
+    if (code < FIRST_FINAL_STATUS) {
+      return new ResponseFraming.Interim();
+    }
+    ResponseFraming framing = framingOfFields();
+    return bodyExpected && !STATUSES_WITHOUT_BODY.contains(code)
+        ? framing
+        : new ResponseFraming.Length(0);
+  }
+
+  private ResponseFraming framingOfFields() {
+    if (chunked) {
+      return new ResponseFraming.Chunked();
+    }
+    return lengths.isEmpty()
+        ? new ResponseFraming.UntilClose()
+        : new ResponseFraming.Length(lengths.iterator().next());
+  }
+
+  private void readStatusLine(String line) throws InvalidResponseException {
+    Matcher matcher = STATUS_LINE.matcher(line);
+    if (!matcher.matches()) {
+      throw new InvalidResponseException("expected a status line of HTTP/1.1 or HTTP/1.0");
+    }
+    status = Optional.of(Integer.parseInt(matcher.group(1)));
+  }
+
+  private void readField(String line) {
+    int colon = line.indexOf(':');
+    if (colon < 0) {
+      return;
+    }
+    String value = line.substring(colon + 1).strip().toLowerCase(Locale.ROOT);
+    switch (line.substring(0, colon).toLowerCase(Locale.ROOT)) {
+      case "content-length" -> readLength(value);
+      case "transfer-encoding" -> chunked = value.equals("chunked");
+      default -> {}
+    }
+  }
+
+  private void readLength(String value) {
+    if (LENGTH.matcher(value).matches()) {
+      lengths.add(Long.parseLong(value));
+    }
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/bergamotcross/entry/framing/package-info.java
@@ -0,0 +1,2 @@
+/** Framing of HTTP messages: where a head and a body end. */
+package org.bergamotcross.entry.framing;
--- a/entry/src/main/java/org/bergamotcross/entry/http/ByteCountingTransport.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/ByteCountingTransport.java
@@ -9,11 +9,12 @@
 import org.apache.pekko.http.javadsl.settings.ClientConnectionSettings;
 import org.apache.pekko.stream.javadsl.Flow;
 import org.apache.pekko.util.ByteString;
+import org.bergamotcross.entry.framing.ResponseValidator;
 import org.bergamotcross.entry.platform.LiteralAddressTransport;
 
 /**
  * Counts the bytes received on one connection, which guards against response smuggling and against
- * responses that never end.
+ * responses that never end, and rejects responses whose framing is invalid.
  *
  * <p>Pekko keeps bytes that follow a complete response and parses them as the response to the next
  * request. The count reveals that such a response arrived before that request was sent. Pekko also
@@ -49,6 +50,7 @@
     }
   }
 
+  private final ResponseValidator validator = new ResponseValidator();
   private final AtomicLong receivedBytes = new AtomicLong();
   private final StringBuilder statusLine = new StringBuilder();
   private volatile long receivedBytesAtProgress;
@@ -64,9 +66,14 @@
     return receivedBytes.get();
   }
 
-  /** Records that a request is sent, after which a response begins. */
-  void expectResponse() {
+  /**
+   * Records that a request is sent, after which a response begins.
+   *
+   * @param bodyExpected whether the response may have a body
+   */
+  void expectResponse(boolean bodyExpected) {
     markProgress();
+    validator.expectBody(bodyExpected);
     responseExpected = true;
   }
 
@@ -90,6 +97,7 @@
     if (inStatusLine) {
       checkStatusLine(bytes);
     }
+    validator.check(bytes);
     long received = receivedBytes.addAndGet(bytes.size());
     if (received - receivedBytesAtProgress > MAX_BYTES_WITHOUT_PROGRESS) {
       throw new EndlessMessageException();
--- a/entry/src/main/java/org/bergamotcross/entry/http/RequestFramer.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/RequestFramer.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import org.apache.pekko.util.ByteString;
+import org.bergamotcross.entry.framing.ChunkSize;
 
 /**
  * Finds the end of each request on a caller's connection and frames its body anew, before Pekko
@@ -50,8 +51,6 @@
 
   // A size line with an extension of the length that Pekko accepts.
   private static final int MAX_SIZE_LINE_BYTES = 320;
-  private static final int MAX_SIZE_DIGITS = 15;
-  private static final int HEX = 16;
 
   private final int maxHeadBytes;
   private final ByteArrayOutputStream line = new ByteArrayOutputStream(0);
@@ -189,25 +188,17 @@
       }
       return false;
     }
-    long size = parseSize(line.toString(StandardCharsets.ISO_8859_1));
+    long size =
+        ChunkSize.parse(line.toString(StandardCharsets.ISO_8859_1))
+            .orElseThrow(
+                () ->
+                    new InvalidRequestException(
+                        "expected the size of a chunk in hexadecimal digits"));
     line.reset();
     part = size == 0 ? new Part.Trailers(0) : new Part.ChunkContent(size);
     return false;
   }
 
-  private static long parseSize(String sizeLine) throws InvalidRequestException {
-    int extension = sizeLine.indexOf(';');
-    String digits = (extension < 0 ? sizeLine : sizeLine.substring(0, extension)).strip();
-    boolean valid =
-        !digits.isEmpty()
-            && digits.length() <= MAX_SIZE_DIGITS
-            && digits.chars().allMatch(digit -> Character.digit(digit, HEX) >= 0);
-    if (!valid) {
-      throw new InvalidRequestException("expected the size of a chunk in hexadecimal digits");
-    }
-    return Long.parseLong(digits, HEX);
-  }
-
   private boolean readChunkContent(Part.ChunkContent chunk, ByteArrayOutputStream content) {
     int length = (int) Math.min(chunk.remaining(), read.length - position);
     content.write(read, position, length);
--- a/entry/src/main/java/org/bergamotcross/entry/http/TargetConnection.java
+++ b/entry/src/main/java/org/bergamotcross/entry/http/TargetConnection.java
@@ -9,6 +9,7 @@
 import org.apache.pekko.actor.ActorSystem;
 import org.apache.pekko.http.javadsl.Http;
 import org.apache.pekko.http.javadsl.OutgoingConnection;
+import org.apache.pekko.http.javadsl.model.HttpMethods;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.settings.ClientConnectionSettings;
@@ -135,7 +136,7 @@
 
   private boolean offer(HttpRequest request) {
     bytesBeforeRequest = transport.receivedBytes();
-    transport.expectResponse();
+    transport.expectResponse(!request.method().equals(HttpMethods.HEAD));
     headReceived = false;
     boolean accepted =
         !closed && streams.requests().offer(request).equals(QueueOfferResult.enqueued());
--- /dev/null
+++ b/entry/src/test/java/org/bergamotcross/entry/path/InvalidFramingTest.java
@@ -0,0 +1,182 @@
+package org.bergamotcross.entry.path;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Guards against a response whose head or chunk sizes are damaged and that a caller gets as a
+ * complete one, with a body that is not the target's.
+ */
+class InvalidFramingTest {
+  private static final String KEY = RawCaller.bearerHeader(EntryInstance.KEY);
+  private static final String SECTIONS =
+      """
+      [targets]
+      buffered-response-bytes = 1000
+      responses-may-end-with-connection = yes
+      """;
+  private static final String OK = "HTTP/1.1 200 OK\r\n";
+  private static final String TEN_BYTES = "0123456789";
+  private static final String CHUNKED = "Transfer-Encoding: chunked\r\n\r\n";
+  private static final String TWO_CHUNKS = "5\r\n01234\r\n5\r\n56789\r\n0\r\n\r\n";
+
+  /** Writes the text and closes the connection, after which a response may be complete. */
+  private static RawTarget.RequestHandler respondAndClose(String text) {
+    return (connection, request) -> {
+      connection.write(text);
+      connection.close();
+    };
+  }
+
+  /** Checks that an order is not answered with the response, and that a read is retried. */
+  private static void checkIsNoAnswer(String response) throws Exception {
+    AtomicInteger reads = new AtomicInteger();
+    RawTarget.RequestHandler damaged = respondAndClose(response);
+    RawTarget.RequestHandler target =
+        (connection, request) -> {
+          boolean isRetry = request.head().startsWith("GET") && reads.getAndIncrement() > 0;
+          if (isRetry) {
+            connection.write(RawTarget.ok("well"));
+          } else {
+            damaged.handle(connection, request);
+          }
+        };
+    try (RawTarget server = new RawTarget(target);
+        EntryInstance entry = EntryInstance.startWith(SECTIONS, List.of(server.port()));
+        RawCaller caller = new RawCaller(entry.port())) {
+      RawTarget.Message order = caller.send("POST", "/team/open/r", "", KEY);
+      assertWithMessage("%s%s", order.head(), order.body())
+          .that(RawCaller.refusalAndOutcome(order))
+          .isEqualTo("target-failed/unknown");
+      assertThat(server.requests()).hasSize(1);
+      assertThat(caller.get("/team/open/r", KEY).body()).isEqualTo("well");
+    }
+  }
+
+  private static RawTarget.Message answer(String method, String response) throws Exception {
+    try (RawTarget target = new RawTarget(respondAndClose(response));
+        EntryInstance entry = EntryInstance.startWith(SECTIONS, List.of(target.port()));
+        RawCaller caller = new RawCaller(entry.port())) {
+      if (method.equals("HEAD")) {
+        caller.sendRequest("HEAD /team/open/r HTTP/1.1", "", KEY);
+        return new RawTarget.Message(caller.readHead(), "");
+      }
+      return caller.send(method, "/team/open/r", "", KEY);
+    }
+  }
+
+  @Nested
+  class ContentLength {
+    @ParameterizedTest
+    @ValueSource(strings = {"10", "010", "\t10 \t"})
+    void thatIsANumberIsAccepted(String length) throws Exception {
+      String response = OK + "content-length:" + length + "\r\n\r\n" + TEN_BYTES;
+      assertThat(answer("POST", response).body()).isEqualTo(TEN_BYTES);
+    }
+  }
+
+  @Nested
+  class TransferEncoding {
+    @ParameterizedTest
+    @ValueSource(strings = {"chunked", "Chunked", " chunked\t"})
+    void thatIsChunkedIsAccepted(String encoding) throws Exception {
+      String response = OK + "Transfer-Encoding:" + encoding + "\r\n\r\n" + TWO_CHUNKS;
+      assertThat(answer("POST", response).body()).isEqualTo(TEN_BYTES);
+    }
+  }
+
+  @Nested
+  class ChunkSizes {
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          "",
+          " ",
+          "\t",
+          "1 0",
+          "5 5",
+          "+5",
+          "-5",
+          "5x",
+          "0x5",
+          "x",
+          ";",
+          "5,",
+          "10000000000000005",
+          "\u0000"
+        })
+    void thatAreNoNumberAreNoAnswer(String size) throws Exception {
+      checkIsNoAnswer(
+          OK + CHUNKED + "5\r\n01234\r\n" + size + "\r\n56789\r\n0\r\n\r\n" + "x".repeat(20));
+    }
+
+    // A line of blanks was read as the size 0, which ended the body early.
+    @ParameterizedTest
+    @ValueSource(strings = {" \r\n\r\n", "\t\r\n\r\n", "0 5\r\n56789\r\n0\r\n\r\n"})
+    void withBlanksInsteadOfDigitsAreNoAnswer(String rest) throws Exception {
+      checkIsNoAnswer(OK + CHUNKED + "5\r\n01234\r\n" + rest);
+    }
+
+    @Test
+    void ofAStreamedBodyNeverMakeItLookComplete() throws Exception {
+      RawTarget.RequestHandler damaged =
+          (connection, request) -> {
+            connection.write(OK + CHUNKED + "7d0\r\n" + "x".repeat(2_000) + "\r\n");
+            Thread.sleep(200);
+            connection.write(" \r\n\r\n");
+          };
+      try (RawTarget target = new RawTarget(damaged);
+          EntryInstance entry = EntryInstance.startWith(SECTIONS, List.of(target.port()));
+          RawCaller caller = new RawCaller(entry.port())) {
+        assertThrows(IOException.class, () -> caller.send("POST", "/team/open/r", "", KEY));
+      }
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          TWO_CHUNKS,
+          "5;a=\"b\"\r\n01234\r\n5 \r\n56789\r\n00\r\n\r\n",
+          "a\r\n0123456789\r\n0\r\nX-Trailer: a\r\n\r\n",
+          "A\n0123456789\n0\n\n"
+        })
+    void thatAreNumbersAreAccepted(String chunks) throws Exception {
+      assertThat(answer("POST", OK + CHUNKED + chunks).body()).isEqualTo(TEN_BYTES);
+    }
+  }
+
+  @Nested
+  class StatusesWithoutABody {
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          "204 No Content\r\n",
+          "204 No Content\r\nContent-Length: 0\r\n",
+          "205 Reset\r\n"
+        })
+    void areAccepted(String start) throws Exception {
+      RawTarget.Message answer = answer("POST", "HTTP/1.1 " + start + "\r\n");
+      assertThat(answer.head()).startsWith("HTTP/1.1 " + start.substring(0, 3));
+      assertThat(answer.body()).isEmpty();
+    }
+
+    // A response to HEAD and a 304 tell the length of a body that is not sent.
+    @Test
+    void mayTellTheLengthOfTheBodyThatIsNotSent() throws Exception {
+      String length = "Content-Length: 10\r\n\r\n";
+      assertThat(answer("HEAD", OK + length)).isNotNull();
+      assertThat(answer("HEAD", OK + length).head()).startsWith(OK);
+      assertThat(answer("POST", "HTTP/1.1 304 Not Modified\r\n" + length).head())
+          .startsWith("HTTP/1.1 304");
+    }
+  }
+}
--- a/entry/src/test/java/org/bergamotcross/entry/path/RawCaller.java
+++ b/entry/src/test/java/org/bergamotcross/entry/path/RawCaller.java
@@ -53,6 +53,11 @@
     return RawTarget.read(in);
   }
 
+  /** Reads the head of a response, which is all of the response to a HEAD request. */
+  String readHead() throws IOException {
+    return RawTarget.readHead(in);
+  }
+
   /** Closes the connection, like a caller that gives up. */
   void disconnect() throws IOException {
     socket.close();
--- a/entry/src/test/java/org/bergamotcross/entry/path/RawTarget.java
+++ b/entry/src/test/java/org/bergamotcross/entry/path/RawTarget.java
@@ -139,7 +139,7 @@
     return new Message(head, new String(in.readNBytes(size), StandardCharsets.ISO_8859_1));
   }
 
-  private static String readHead(InputStream in) throws IOException {
+  static String readHead(InputStream in) throws IOException {
     ByteArrayOutputStream head = new ByteArrayOutputStream();
     while (!head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
       int next = in.read();
