Reject responses whose Content-Length is no number

Cause: Pekko's parser starts at 0, skips blanks, and notices an overflow only if the number becomes negative; 2^64 + 10 wraps around to 10.

Why this works: the value must consist of 1 to 18 digits before Pekko sees the end of the head.

--- a/entry/src/main/java/org/bergamotcross/entry/framing/ResponseHead.java
+++ b/entry/src/main/java/org/bergamotcross/entry/framing/ResponseHead.java
@@ -10,7 +10,7 @@
 /** Collects what the lines of a response head say about the body. Not thread-safe. */
 final class ResponseHead {
   private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] ([1-5][0-9]{2})( .*)?");
-  // Digits that fit into a long.
+  // Digits that fit into a long; Pekko's parser takes 2^64 + 10 for 10.
   private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
   private static final int FIRST_FINAL_STATUS = 200;
   private static final Set<Integer> STATUSES_WITHOUT_BODY = Set.of(204, 205, 304);
@@ -39,7 +39,7 @@
    *
    * @param bodyExpected false if the request was a HEAD request, whose response has no body
    * @return the framing
-   * @throws InvalidResponseException if there was no line
+   * @throws InvalidResponseException if the lines contradict each other
    */
   ResponseFraming framing(boolean bodyExpected) throws InvalidResponseException {
     int code =
@@ -53,7 +53,10 @@
         : new ResponseFraming.Length(0);
   }
 
-  private ResponseFraming framingOfFields() {
+  private ResponseFraming framingOfFields() throws InvalidResponseException {
+    if (lengths.size() > 1) {
+      throw new InvalidResponseException("expected one Content-Length, found " + lengths);
+    }
     if (chunked) {
       return new ResponseFraming.Chunked();
     }
@@ -70,7 +73,7 @@
     status = Optional.of(Integer.parseInt(matcher.group(1)));
   }
 
-  private void readField(String line) {
+  private void readField(String line) throws InvalidResponseException {
     int colon = line.indexOf(':');
     if (colon < 0) {
       return;
@@ -83,9 +86,10 @@
     }
   }
 
-  private void readLength(String value) {
-    if (LENGTH.matcher(value).matches()) {
-      lengths.add(Long.parseLong(value));
+  private void readLength(String value) throws InvalidResponseException {
+    if (!LENGTH.matcher(value).matches()) {
+      throw new InvalidResponseException("expected a number in Content-Length");
     }
+    lengths.add(Long.parseLong(value));
   }
 }
--- a/entry/src/test/java/org/bergamotcross/entry/framing/ResponseValidatorTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/framing/ResponseValidatorTest.java
@@ -57,7 +57,13 @@
   class Invalid {
     @ParameterizedTest
     @ValueSource(
-        strings = {"\r\n" + OK, CHUNKED + "5\r\n01234\r\n \r\n", CHUNKED + "5\r\n012345\r\n"})
+        strings = {
+          OK + "Content-Length: 1 0\r\n\r\n",
+          OK + "Content-Length: 5\r\nContent-Length: 6\r\n\r\n",
+          "\r\n" + OK,
+          CHUNKED + "5\r\n01234\r\n \r\n",
+          CHUNKED + "5\r\n012345\r\n"
+        })
     void isRejectedInAnyParts(String response) {
       for (int split = 0; split <= response.length(); split++) {
         int at = split;
--- a/entry/src/test/java/org/bergamotcross/entry/path/InvalidFramingTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/path/InvalidFramingTest.java
@@ -76,6 +76,41 @@
 
   @Nested
   class ContentLength {
+    // An empty value was read as 0, blanks were skipped, and 2^64 + 10 was read as 10.
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          "",
+          "  ",
+          "1 0",
+          "1\t0",
+          "18446744073709551626",
+          "36893488147419103242",
+          "9223372036854775818",
+          "+10",
+          "-10",
+          "10x",
+          "x10",
+          "0xa",
+          "1e1",
+          "10.0",
+          "10;",
+          "10, 10",
+          "10, 5",
+          "1\u00000",
+          "10\r\n 0"
+        })
+    void thatIsNoNumberIsNoAnswer(String length) throws Exception {
+      checkIsNoAnswer(OK + "Content-Length: " + length + "\r\n\r\n" + TEN_BYTES);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"5", "x", ""})
+    void thatDiffersFromAnotherIsNoAnswer(String second) throws Exception {
+      checkIsNoAnswer(
+          OK + "Content-Length: 10\r\nContent-Length: " + second + "\r\n\r\n" + TEN_BYTES);
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"10", "010", "\t10 \t"})
     void thatIsANumberIsAccepted(String length) throws Exception {
