Reject responses whose Transfer-Encoding is not "chunked"

What callers saw: 200 with the sizes of the chunks in the body, for values such as "chunk ed", "chunked;" or an empty one. Beside a Content-Length, such an encoding was ignored.

Cause: Pekko keeps a Transfer-Encoding that it can't parse as an unknown field. Without a length, the body then lasts until the end of the connection, which the deployment allows.

Why this works: the only transfer encoding that a target may use is "chunked", once and without a length. Anything else fails the connection before Pekko sees the end of the head.

--- a/entry/src/main/java/org/bergamotcross/entry/framing/ResponseHead.java
+++ b/entry/src/main/java/org/bergamotcross/entry/framing/ResponseHead.java
@@ -54,6 +54,9 @@
   }
 
   private ResponseFraming framingOfFields() throws InvalidResponseException {
+    if (chunked && !lengths.isEmpty()) {
+      throw new InvalidResponseException("expected Content-Length or Transfer-Encoding, not both");
+    }
     if (lengths.size() > 1) {
       throw new InvalidResponseException("expected one Content-Length, found " + lengths);
     }
@@ -81,7 +84,7 @@
     String value = line.substring(colon + 1).strip().toLowerCase(Locale.ROOT);
     switch (line.substring(0, colon).toLowerCase(Locale.ROOT)) {
       case "content-length" -> readLength(value);
-      case "transfer-encoding" -> chunked = value.equals("chunked");
+      case "transfer-encoding" -> readTransferEncoding(value);
       default -> {}
     }
   }
@@ -92,4 +95,13 @@
     }
     lengths.add(Long.parseLong(value));
   }
+
+  // Pekko ignores a Transfer-Encoding that it can't parse, and delivers the chunks with their
+  // sizes.
+  private void readTransferEncoding(String value) throws InvalidResponseException {
+    if (chunked || !value.equals("chunked")) {
+      throw new InvalidResponseException("expected Transfer-Encoding: chunked, once");
+    }
+    chunked = true;
+  }
 }
--- a/entry/src/test/java/org/bergamotcross/entry/framing/ResponseValidatorTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/framing/ResponseValidatorTest.java
@@ -60,6 +60,8 @@
         strings = {
           OK + "Content-Length: 1 0\r\n\r\n",
           OK + "Content-Length: 5\r\nContent-Length: 6\r\n\r\n",
+          OK + "Transfer-Encoding: chunk ed\r\n\r\n",
+          OK + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n",
           "\r\n" + OK,
           CHUNKED + "5\r\n01234\r\n \r\n",
           CHUNKED + "5\r\n012345\r\n"
--- a/entry/src/test/java/org/bergamotcross/entry/path/InvalidFramingTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/path/InvalidFramingTest.java
@@ -121,6 +121,40 @@
 
   @Nested
   class TransferEncoding {
+    // A value that Pekko could not parse was ignored, so that the size lines became the body.
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          "",
+          "chunk ed",
+          "chunkd",
+          "chunked,",
+          ",chunked",
+          "chunked;",
+          "chunked;q=1",
+          "chunked x",
+          "chunked/1",
+          "=chunked",
+          "\"chunked\"",
+          "@",
+          "chunk\u00e9d",
+          "chunked\u0000",
+          "gzip",
+          "identity",
+          "gzip, chunked",
+          "chunked, chunked"
+        })
+    void thatIsNotChunkedIsNoAnswer(String encoding) throws Exception {
+      checkIsNoAnswer(OK + "Transfer-Encoding: " + encoding + "\r\n\r\n" + TWO_CHUNKS);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"chunked", "chunk ed", "@"})
+    void besideALengthIsNoAnswer(String encoding) throws Exception {
+      checkIsNoAnswer(
+          OK + "Content-Length: 10\r\nTransfer-Encoding: " + encoding + "\r\n\r\n" + TEN_BYTES);
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"chunked", "Chunked", " chunked\t"})
     void thatIsChunkedIsAccepted(String encoding) throws Exception {
