Reject responses with a line that is no field

What callers saw: 200 with a line that has no name before its colon, or a value with the byte 0x7F. A line that begins with a blank, such as a damaged Content-Length, was joined to the field before it: the response lost its length and the caller got all bytes until the end of the connection. A folded Transfer-Encoding was ignored.

Cause: Pekko's parser accepts an empty name and obsolete line folding.

Why this works: each line must be a token, a colon and a value without control bytes before Pekko sees the end of the head. RFC 9112 lets a gateway discard a response with folded lines.

--- a/entry/src/main/java/org/bergamotcross/entry/framing/ResponseHead.java
+++ b/entry/src/main/java/org/bergamotcross/entry/framing/ResponseHead.java
@@ -12,6 +12,7 @@
   private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] ([1-5][0-9]{2})( .*)?");
   // Digits that fit into a long; Pekko's parser takes 2^64 + 10 for 10.
   private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
+  private static final String TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~";
   private static final int FIRST_FINAL_STATUS = 200;
   private static final Set<Integer> STATUSES_WITHOUT_BODY = Set.of(204, 205, 304);
 
@@ -27,6 +28,9 @@
    */
   void add(String received) throws InvalidResponseException {
     String line = received.endsWith("\r") ? received.substring(0, received.length() - 1) : received;
+    if (line.chars().anyMatch(ResponseHead::isControl)) {
+      throw new InvalidResponseException("a line of the head has a control byte");
+    }
     if (status.isEmpty()) {
       readStatusLine(line);
     } else {
@@ -78,8 +82,9 @@
 
   private void readField(String line) throws InvalidResponseException {
     int colon = line.indexOf(':');
-    if (colon < 0) {
-      return;
+    // A line that starts with a blank would continue the field before it, and hide its own name.
+    if (colon <= 0 || !line.chars().limit(colon).allMatch(ResponseHead::isToken)) {
+      throw new InvalidResponseException("expected a field with a name and a colon");
     }
     String value = line.substring(colon + 1).strip().toLowerCase(Locale.ROOT);
     switch (line.substring(0, colon).toLowerCase(Locale.ROOT)) {
@@ -104,4 +109,15 @@
     }
     chunked = true;
   }
+
+  private static boolean isControl(int character) {
+    return (character < ' ' && character != '\t') || character == 0x7f;
+  }
+
+  private static boolean isToken(int character) {
+    return (character >= 'a' && character <= 'z')
+        || (character >= 'A' && character <= 'Z')
+        || (character >= '0' && character <= '9')
+        || TOKEN_SYMBOLS.indexOf(character) >= 0;
+  }
 }
--- a/entry/src/test/java/org/bergamotcross/entry/framing/ResponseValidatorTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/framing/ResponseValidatorTest.java
@@ -62,6 +62,8 @@
           OK + "Content-Length: 5\r\nContent-Length: 6\r\n\r\n",
           OK + "Transfer-Encoding: chunk ed\r\n\r\n",
           OK + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n",
+          OK + ": value\r\n",
+          OK + "X-Field: a\r\n folded\r\n",
           "\r\n" + OK,
           CHUNKED + "5\r\n01234\r\n \r\n",
           CHUNKED + "5\r\n012345\r\n"
--- a/entry/src/test/java/org/bergamotcross/entry/path/InvalidFramingTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/path/InvalidFramingTest.java
@@ -163,6 +163,85 @@
     }
   }
 
+  @Nested
+  class Lines {
+    // A line without a name was passed on to the caller.
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          ":",
+          ": value",
+          "no field",
+          "no-colon",
+          "HTTP/1.1 200 OK",
+          "()<>@",
+          "\u0000",
+          "\r",
+          "X-Field: a\rb"
+        })
+    void thatAreNoFieldAreNoAnswer(String line) throws Exception {
+      checkIsNoAnswer(OK + line + "\r\nContent-Length: 10\r\n\r\n" + TEN_BYTES);
+      checkIsNoAnswer(OK + "Content-Length: 10\r\n" + line + "\r\n\r\n" + TEN_BYTES);
+    }
+
+    // A length behind a damaged line end or name was read as a part of the field before it.
+    @ParameterizedTest
+    @ValueSource(strings = {" ontent-Length: 10", "\tContent-Length: 10", " "})
+    void thatContinueTheFieldBeforeThemAreNoAnswer(String line) throws Exception {
+      checkIsNoAnswer(OK + "X-Field: a\r\n" + line + "\r\n\r\n" + TEN_BYTES);
+    }
+
+    // The parser joined the lines to an encoding that it did not know, and ignored it.
+    @Test
+    void thatContinueTheTransferEncodingAreNoAnswer() throws Exception {
+      checkIsNoAnswer(OK + "Transfer-Encoding: chunked\r\n x\r\n\r\n" + TWO_CHUNKS);
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          "X Field",
+          "X-Field ",
+          "X\tField",
+          "X\u0000Field",
+          "X\u0001Field",
+          "X\u007fField",
+          "X\u00e9Field",
+          "Content Length",
+          "Content-Length ",
+          "Content-Len\u0000gth",
+          "Transfer Encoding",
+          "Transfer-Encoding "
+        })
+    void withABlankOrAControlByteInTheNameAreNoAnswer(String name) throws Exception {
+      checkIsNoAnswer(OK + name + ": 10\r\n\r\n" + TEN_BYTES);
+      checkIsNoAnswer(OK + name + ": 10\r\nContent-Length: 10\r\n\r\n" + TEN_BYTES);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"a\u0000b", "a\u0001b", "a\u007fb", "\u001b"})
+    void withAControlByteInTheValueAreNoAnswer(String value) throws Exception {
+      checkIsNoAnswer(OK + "X-Field: " + value + "\r\nContent-Length: 10\r\n\r\n" + TEN_BYTES);
+    }
+
+    // Guards against a check that discards fields which HTTP allows.
+    @ParameterizedTest
+    @ValueSource(strings = {"", "a b", "\"a\"; b=c, d", "caf\u00e9 noir", ":", "HTTP/2"})
+    void withAnAllowedValueAreAccepted(String value) throws Exception {
+      RawTarget.Message answer =
+          answer(
+              "POST", OK + "X-Fi.e_l!d: " + value + "\r\nContent-Length: 10\r\n\r\n" + TEN_BYTES);
+      assertThat(answer.body()).isEqualTo(TEN_BYTES);
+      assertThat(answer.header("x-fi.e_l!d")).isEqualTo(value);
+    }
+
+    @Test
+    void thatEndWithoutACarriageReturnAreAccepted() throws Exception {
+      String response = "HTTP/1.1 200 OK\nX-Field: a\nContent-Length: 10\n\n" + TEN_BYTES;
+      assertThat(answer("POST", response).body()).isEqualTo(TEN_BYTES);
+    }
+  }
+
   @Nested
   class ChunkSizes {
     @ParameterizedTest
