Reject responses with a field that ends within a character

What callers saw: a value that ends with a byte from 0xE0 on was dropped together with the next line. If that was the Content-Length, the caller got 200 with all bytes until the end of the connection.

Cause: Pekko takes such a byte for the first of three or four bytes in UTF-8, and completes the character with the line end.

Values with complete characters, and with Latin-1 inside the value, are accepted as before.

Why this works: a line whose last bytes begin a character that would include the line feed fails the connection.

--- a/entry/src/main/java/org/bergamotcross/entry/framing/ResponseHead.java
+++ b/entry/src/main/java/org/bergamotcross/entry/framing/ResponseHead.java
@@ -27,6 +27,9 @@
    * @throws InvalidResponseException if the line has no place in a head
    */
   void add(String received) throws InvalidResponseException {
+    if (endsWithinCharacter(received)) {
+      throw new InvalidResponseException("a line of the head ends within a UTF-8 character");
+    }
     String line = received.endsWith("\r") ? received.substring(0, received.length() - 1) : received;
     if (line.chars().anyMatch(ResponseHead::isControl)) {
       throw new InvalidResponseException("a line of the head has a control byte");
@@ -110,6 +113,30 @@
     chunked = true;
   }
 
+  /**
+   * Tells whether a character of several bytes begins near the end of the line and is incomplete.
+   * Pekko would complete it with the line feed and read the next line as a part of the value.
+   */
+  private static boolean endsWithinCharacter(String line) {
+    int end = line.length();
+    for (int position = Math.max(0, end - 3); position < end; position++) {
+      if (position + characterBytes(line.charAt(position)) > end) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static int characterBytes(char first) {
+    if (first >= 0xf0) {
+      return 4;
+    }
+    if (first >= 0xe0) {
+      return 3;
+    }
+    return first >= 0xc0 ? 2 : 1;
+  }
+
   private static boolean isControl(int character) {
     return (character < ' ' && character != '\t') || character == 0x7f;
   }
--- a/entry/src/test/java/org/bergamotcross/entry/framing/ResponseValidatorTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/framing/ResponseValidatorTest.java
@@ -64,6 +64,7 @@
           OK + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n",
           OK + ": value\r\n",
           OK + "X-Field: a\r\n folded\r\n",
+          OK + "X-Field: caf\u00e9\r\n",
           "\r\n" + OK,
           CHUNKED + "5\r\n01234\r\n \r\n",
           CHUNKED + "5\r\n012345\r\n"
--- a/entry/src/test/java/org/bergamotcross/entry/path/InvalidFramingTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/path/InvalidFramingTest.java
@@ -224,6 +224,13 @@
       checkIsNoAnswer(OK + "X-Field: " + value + "\r\nContent-Length: 10\r\n\r\n" + TEN_BYTES);
     }
 
+    // The parser completed the character with the line end and dropped the length behind it.
+    @ParameterizedTest
+    @ValueSource(strings = {"caf\u00e9", "\u00e9", "\u00f0", "\u00f0\u009f"})
+    void thatEndWithinACharacterAreNoAnswer(String value) throws Exception {
+      checkIsNoAnswer(OK + "X-Field: " + value + "\r\nContent-Length: 5\r\n\r\n" + TEN_BYTES);
+    }
+
     // Guards against a check that discards fields which HTTP allows.
     @ParameterizedTest
     @ValueSource(strings = {"", "a b", "\"a\"; b=c, d", "caf\u00e9 noir", ":", "HTTP/2"})
