Reject responses without content that announce a body

What callers saw: a 204 or 205 with a Content-Length or chunks arrived as a success without the body.

Cause: Pekko drops the body of these statuses. HTTP forbids to announce one, so either the status or the framing is damaged.

A length of 0 is accepted, and so are a 304 and the response to a HEAD request with the length of the body that is not sent.

Why this works: the status and the framing of a head are compared before Pekko sees its end.

--- a/entry/src/main/java/org/bergamotcross/entry/framing/ResponseHead.java
+++ b/entry/src/main/java/org/bergamotcross/entry/framing/ResponseHead.java
@@ -14,7 +14,8 @@
   private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
   private static final String TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~";
   private static final int FIRST_FINAL_STATUS = 200;
-  private static final Set<Integer> STATUSES_WITHOUT_BODY = Set.of(204, 205, 304);
+  private static final int NOT_MODIFIED = 304;
+  private static final Set<Integer> STATUSES_WITHOUT_CONTENT = Set.of(204, 205);
 
   private final Set<Long> lengths = new HashSet<>();
   private Optional<Integer> status = Optional.empty();
@@ -55,9 +56,16 @@
       return new ResponseFraming.Interim();
     }
     ResponseFraming framing = framingOfFields();
-    return bodyExpected && !STATUSES_WITHOUT_BODY.contains(code)
-        ? framing
-        : new ResponseFraming.Length(0);
+    if (STATUSES_WITHOUT_CONTENT.contains(code)) {
+      if (announcesBody(framing)) {
+        throw new InvalidResponseException("status " + code + " with a body");
+      }
+      return new ResponseFraming.Length(0);
+    }
+    if (!bodyExpected || code == NOT_MODIFIED) {
+      return new ResponseFraming.Length(0);
+    }
+    return framing;
   }
 
   private ResponseFraming framingOfFields() throws InvalidResponseException {
@@ -75,6 +83,15 @@
         : new ResponseFraming.Length(lengths.iterator().next());
   }
 
+  private static boolean announcesBody(ResponseFraming framing) {
+    return switch (framing) {
+      case ResponseFraming.Length length -> length.bytes() > 0;
+      case ResponseFraming.Chunked ignored -> true;
+      case ResponseFraming.UntilClose ignored -> false;
+      case ResponseFraming.Interim ignored -> false;
+    };
+  }
+
   private void readStatusLine(String line) throws InvalidResponseException {
     Matcher matcher = STATUS_LINE.matcher(line);
     if (!matcher.matches()) {
--- a/entry/src/test/java/org/bergamotcross/entry/path/InvalidFramingTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/path/InvalidFramingTest.java
@@ -311,6 +311,15 @@
 
   @Nested
   class StatusesWithoutABody {
+    // The body was dropped, and the caller got an empty response as a success.
+    @ParameterizedTest
+    @ValueSource(strings = {"204 No Content", "205 Reset Content"})
+    void thatAnnounceOneAreNoAnswer(String status) throws Exception {
+      String start = "HTTP/1.1 " + status + "\r\n";
+      checkIsNoAnswer(start + "Content-Length: 10\r\n\r\n" + TEN_BYTES);
+      checkIsNoAnswer(start + CHUNKED + TWO_CHUNKS);
+    }
+
     @ParameterizedTest
     @ValueSource(
         strings = {
