Accept responses without a length only if they announce the close

What callers saw: with a damaged name of Content-Length or Transfer-Encoding, 200 with all bytes until the end of the connection, cut or with the sizes of the chunks.

Cause: where responses may end with their connection, the lack of both fields was enough. HTTP asks the sender to announce the close, with Connection: close or by HTTP/1.0.

Evidence: InvalidFramingTest.MissingLength failed in 5 of 9 cases on; all pass now.

Why this works: a connection that is not announced to end can't tell where the body ends. It fails at once; if the target kept it open, the caller waited until its deadline before.

--- a/entry/src/main/java/org/bergamotcross/entry/framing/ResponseHead.java
+++ b/entry/src/main/java/org/bergamotcross/entry/framing/ResponseHead.java
@@ -1,5 +1,6 @@
 package org.bergamotcross.entry.framing;
 
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.Locale;
 import java.util.Optional;
@@ -9,7 +10,8 @@
 
 /** Collects what the lines of a response head say about the body. Not thread-safe. */
 final class ResponseHead {
-  private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] ([1-5][0-9]{2})( .*)?");
+  private static final Pattern STATUS_LINE =
+      Pattern.compile("HTTP/1\\.([01]) ([1-5][0-9]{2})( .*)?");
   // Digits that fit into a long; Pekko's parser takes 2^64 + 10 for 10.
   private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
   private static final String TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~";
@@ -20,6 +22,7 @@
   private final Set<Long> lengths = new HashSet<>();
   private Optional<Integer> status = Optional.empty();
   private boolean chunked;
+  private boolean closesConnection;
 
   /**
    * Reads the next line.
@@ -47,7 +50,7 @@
    *
    * @param bodyExpected false if the request was a HEAD request, whose response has no body
    * @return the framing
-   * @throws InvalidResponseException if the lines contradict each other
+   * @throws InvalidResponseException if the lines contradict each other or leave the end open
    */
   ResponseFraming framing(boolean bodyExpected) throws InvalidResponseException {
     int code =
@@ -65,6 +68,10 @@
     if (!bodyExpected || code == NOT_MODIFIED) {
       return new ResponseFraming.Length(0);
     }
+    if (framing instanceof ResponseFraming.UntilClose && !closesConnection) {
+      throw new InvalidResponseException(
+          "expected Content-Length, Transfer-Encoding or Connection: close");
+    }
     return framing;
   }
 
@@ -97,7 +104,8 @@
     if (!matcher.matches()) {
       throw new InvalidResponseException("expected a status line of HTTP/1.1 or HTTP/1.0");
     }
-    status = Optional.of(Integer.parseInt(matcher.group(1)));
+    closesConnection = matcher.group(1).equals("0");
+    status = Optional.of(Integer.parseInt(matcher.group(2)));
   }
 
   private void readField(String line) throws InvalidResponseException {
@@ -110,6 +118,9 @@
     switch (line.substring(0, colon).toLowerCase(Locale.ROOT)) {
       case "content-length" -> readLength(value);
       case "transfer-encoding" -> readTransferEncoding(value);
+      case "connection" ->
+          closesConnection |=
+              Arrays.stream(value.split(",", -1)).map(String::strip).anyMatch("close"::equals);
       default -> {}
     }
   }
--- a/entry/src/test/java/org/bergamotcross/entry/framing/ResponseValidatorTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/framing/ResponseValidatorTest.java
@@ -66,6 +66,7 @@
           OK + "X-Field: a\r\n folded\r\n",
           OK + "X-Field: caf\u00e9\r\n",
           "HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\n",
+          OK + "X-Field: a\r\n\r\n",
           "\r\n" + OK,
           CHUNKED + "5\r\n01234\r\n \r\n",
           CHUNKED + "5\r\n012345\r\n"
--- a/entry/src/test/java/org/bergamotcross/entry/path/InvalidFramingTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/path/InvalidFramingTest.java
@@ -309,6 +309,36 @@
     }
   }
 
+  @Nested
+  class MissingLength {
+    // The end of the connection was taken for the end of the body, also where the name of the field
+    // that frames the body was damaged, so that a cut body and size lines looked like the body.
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          "X-Field: a\r\n\r\n" + TEN_BYTES,
+          "Content-Lenght: 20\r\n\r\n" + TEN_BYTES,
+          "Transfer-Encodinq: chunked\r\n\r\n" + TWO_CHUNKS,
+          "Connection: keep-alive\r\n\r\n" + TEN_BYTES,
+          "Connection: clos\r\n\r\n" + TEN_BYTES
+        })
+    void withoutAnAnnouncedCloseIsNoAnswer(String rest) throws Exception {
+      checkIsNoAnswer(OK + rest);
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          OK + "Connection: close\r\n\r\n",
+          OK + "connection: Close\r\n\r\n",
+          OK + "Connection: x, close\r\n\r\n",
+          "HTTP/1.0 200 OK\r\n\r\n"
+        })
+    void withAnAnnouncedCloseIsAccepted(String head) throws Exception {
+      assertThat(answer("POST", head + TEN_BYTES).body()).isEqualTo(TEN_BYTES);
+    }
+  }
+
   @Nested
   class StatusesWithoutABody {
     // The body was dropped, and the caller got an empty response as a success.
