Check the framing of the platform's responses

What was seen: the client of the platform and of its store took damaged responses for complete ones, by the same faults as the target client. An append could count as acknowledged by a response whose body was not the store's.

Cause: the client uses Pekko's parser without a check.

Why this works: ValidatingTransport checks each connection with ResponseValidator. A damaged response fails the call, whose outcome is then unknown, as for one that was lost. The pool's settings replaced the transport that was set before them; it is now set on the connection, so that connections to literal addresses need no name lookup, as intended.

--- a/entry/src/main/java/org/bergamotcross/entry/platform/PooledHttpClient.java
+++ b/entry/src/main/java/org/bergamotcross/entry/platform/PooledHttpClient.java
@@ -82,7 +82,6 @@
 
   private static ConnectionPoolSettings poolSettings(ActorSystem system, Duration idleTimeout) {
     return ConnectionPoolSettings.create(system)
-        .withTransport(new LiteralAddressTransport())
         .withMaxRetries(0)
         .withMinConnections(0)
         .withMaxConnections(16)
@@ -92,6 +91,7 @@
         .withMaxConnectionBackoff(FiniteDuration.create(200, MILLISECONDS))
         .withConnectionSettings(
             ClientConnectionSettings.create(system)
+                .withTransport(new ValidatingTransport())
                 .withConnectingTimeout(FiniteDuration.create(CONNECT_TIMEOUT_MS, MILLISECONDS))
                 .withIdleTimeout(FiniteDuration.create(idleTimeout.toMillis(), MILLISECONDS)));
   }
--- a/entry/src/test/java/org/bergamotcross/entry/path/InvalidFramingTest.java
+++ b/entry/src/test/java/org/bergamotcross/entry/path/InvalidFramingTest.java
@@ -5,8 +5,16 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.apache.pekko.actor.ActorSystem;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.bergamotcross.entry.platform.PooledHttpClient;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -373,4 +381,45 @@
           .startsWith("HTTP/1.1 304");
     }
   }
+
+  @Nested
+  class ResponsesOfThePlatform {
+    // Guards against an append that counts as acknowledged by a response that is damaged.
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          "Content-Length: \r\n\r\n" + TEN_BYTES,
+          "Content-Length: 1 0\r\n\r\n" + TEN_BYTES,
+          "Transfer-Encoding: chunk ed\r\n\r\n" + TWO_CHUNKS,
+          ": value\r\nContent-Length: 10\r\n\r\n" + TEN_BYTES,
+          CHUNKED + "5\r\n01234\r\n \r\n\r\n"
+        })
+    void thatAreDamagedAreNoAnswer(String rest) throws Exception {
+      assertThrows(ExecutionException.class, () -> fetch(OK + rest));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"Content-Length: 10\r\n\r\n" + TEN_BYTES, CHUNKED + TWO_CHUNKS})
+    void thatAreSoundAreAccepted(String rest) throws Exception {
+      PooledHttpClient.Response response = fetch(OK + rest);
+      assertThat(response.status()).isEqualTo(200);
+      assertThat(response.body().utf8String()).isEqualTo(TEN_BYTES);
+    }
+
+    private PooledHttpClient.Response fetch(String text) throws Exception {
+      ActorSystem system = ActorSystem.create();
+      try (RawTarget platform = new RawTarget(respondAndClose(text))) {
+        PooledHttpClient client =
+            new PooledHttpClient(
+                system,
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), platform.port()),
+                Duration.ofSeconds(5));
+        return client
+            .send(HttpRequest.create(client.uri("/")), Duration.ofSeconds(5))
+            .get(10, TimeUnit.SECONDS);
+      } finally {
+        system.terminate();
+      }
+    }
+  }
 }
