Check the framing of instances' responses in the command line

What was seen: "status" took a damaged page of an instance for a complete one and showed the instance without its values, with exit code 0.

Cause: as in the target client, Pekko's parser without a check.

Why this works: the connections use ValidatingTransport. The instance is shown with "invalid response", and the command exits with 3, as for an instance that can't be reached. The test's status page is served from a plain socket, so that a test can damage it.

--- a/cli/src/main/java/org/bergamotcross/cli/InstanceClient.java
+++ b/cli/src/main/java/org/bergamotcross/cli/InstanceClient.java
@@ -14,6 +14,9 @@
 import org.apache.pekko.http.javadsl.Http;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.settings.ConnectionPoolSettings;
+import org.bergamotcross.entry.framing.InvalidResponseException;
+import org.bergamotcross.entry.platform.ValidatingTransport;
 
 /** Fetches the status pages of instances concurrently. */
 final class InstanceClient implements AutoCloseable {
@@ -32,6 +35,8 @@
       ActorSystem.create(
           "instance-client",
           ConfigFactory.parseString(PEKKO_CONFIG).withFallback(ConfigFactory.load()));
+  private final ConnectionPoolSettings pool =
+      ConnectionPoolSettings.create(system).withTransport(new ValidatingTransport());
 
   /**
    * Fetches the status of each instance.
@@ -47,8 +52,9 @@
 
   private CompletableFuture<InstanceStatus> fetchStatus(InetSocketAddress address) {
     String uri = "http://" + formatAddress(address) + "/status";
-    return Http.get(system)
-        .singleRequest(HttpRequest.create(uri))
+    Http http = Http.get(system);
+    return http.singleRequest(
+            HttpRequest.create(uri), http.defaultClientHttpsContext(), pool, system.log())
         .thenCompose(
             response ->
                 response
@@ -79,6 +85,7 @@
             : failure;
     return switch (cause) {
       case java.util.concurrent.TimeoutException ignored -> "no answer within " + REQUEST_TIMEOUT;
+      case InvalidResponseException ignored -> "invalid response";
       default -> "no connection";
     };
   }
--- a/cli/src/test/java/org/bergamotcross/cli/FakeStatusPage.java
+++ b/cli/src/test/java/org/bergamotcross/cli/FakeStatusPage.java
@@ -1,40 +1,69 @@
 package org.bergamotcross.cli;
 
-import com.sun.net.httpserver.HttpServer;
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
 import java.net.InetAddress;
-import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 
-/** Serves a fixed status page in place of an instance. */
+/** Serves a fixed status page in place of an instance, one request on each connection. */
 final class FakeStatusPage implements AutoCloseable {
-  private final HttpServer server;
+  private final ServerSocket server = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
+  private final byte[] response;
 
   FakeStatusPage(String name, long offset, boolean fresh) throws IOException {
-    server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
-    byte[] page =
-        ("instance=" + name + "\noffset=" + offset + "\nfresh=" + fresh + "\n")
-            .getBytes(StandardCharsets.UTF_8);
-    server.createContext(
-        "/status",
-        exchange -> {
-          exchange.sendResponseHeaders(200, page.length);
-          exchange.getResponseBody().write(page);
-          exchange.close();
-        });
-    server.start();
+    this(withLength(page(name, offset, fresh)));
+  }
+
+  private FakeStatusPage(String response) throws IOException {
+    this.response = response.getBytes(StandardCharsets.US_ASCII);
+    Thread.startVirtualThread(this::serve);
+  }
+
+  /** Starts a server whose responses a test can make invalid in any way. */
+  static FakeStatusPage respondingWith(String response) throws IOException {
+    return new FakeStatusPage(response);
+  }
+
+  static String page(String name, long offset, boolean fresh) {
+    return "instance=" + name + "\noffset=" + offset + "\nfresh=" + fresh + "\n";
+  }
+
+  private static String withLength(String page) {
+    return "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: "
+        + page.length()
+        + "\r\n\r\n"
+        + page;
+  }
+
+  private void serve() {
+    while (!server.isClosed()) {
+      try (Socket socket = server.accept()) {
+        BufferedReader request =
+            new BufferedReader(
+                new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+        for (String line = request.readLine();
+            line != null && !line.isEmpty();
+            line = request.readLine()) {}
+        socket.getOutputStream().write(response);
+      } catch (IOException e) {
+        // The client has left, or the test has closed the server.
+      }
+    }
   }
 
   String address() {
-    return "127.0.0.1:" + server.getAddress().getPort();
+    return "127.0.0.1:" + server.getLocalPort();
   }
 
-  void stop() {
-    server.stop(0);
+  void stop() throws IOException {
+    server.close();
   }
 
   @Override
-  public void close() {
+  public void close() throws IOException {
     stop();
   }
 }
--- a/cli/src/test/java/org/bergamotcross/cli/StatusCommandTest.java
+++ b/cli/src/test/java/org/bergamotcross/cli/StatusCommandTest.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against a status report that hides instances that are behind, not fresh or unreachable.
@@ -49,4 +51,27 @@
       }
     }
   }
+
+  @Nested
+  class OneResponseIsDamaged {
+    // Guards against a status that is read from a page which is cut or has size lines in it.
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          "Content-Length: \r\n\r\n",
+          "Content-Length: 2 0\r\n\r\n",
+          "Transfer-Encoding: chunk ed\r\n\r\n24\r\n"
+        })
+    void isNamedAndTheOthersAreShown(String framing) throws IOException {
+      String page = FakeStatusPage.page("e2", 7, true);
+      try (FakeStatusPage first = new FakeStatusPage("e1", 7, true);
+          FakeStatusPage damaged =
+              FakeStatusPage.respondingWith("HTTP/1.1 200 OK\r\n" + framing + page)) {
+        List<String> lines = status(3, first, damaged);
+        assertThat(lines.get(0)).endsWith("state=current");
+        assertThat(lines.get(1)).endsWith("state=\"invalid response\"");
+        assertThat(program.err()).contains("no status from " + damaged.address());
+      }
+    }
+  }
 }
