--- a/entry/src/main/java/org/bergamotcross/entry/framing/ChunkSize.java
+++ b/entry/src/main/java/org/bergamotcross/entry/framing/ChunkSize.java
@@ -12,9 +12,9 @@
   /**
    * Parses a size line.
    *
-   * @param line the line without its end; an extension behind a semicolon is ignored
-   * @return the size in bytes, or empty if the line does not start with hexadecimal digits or they
-   *     exceed a long
+   * @param line the line, with or without its carriage return; an extension behind a semicolon and
+   *     blanks around the digits are ignored
+   * @return the size in bytes, or empty if there is no number of 1 to 15 hexadecimal digits
    */
   public static Optional<Long> parse(String line) {
     int extension = line.indexOf(';');
