--- a/review/standins-3/Caller.java
+++ b/review/standins-3/Caller.java
@@ -42,9 +42,13 @@
             + path
             + " HTTP/1.1\r\nHost: "
             + host
-            + "\r\nX-Bergamotcross-Attempt-Id: "
+            + "\r\n"
+            + Wire.ATTEMPT
+            + ": "
             + id
-            + "\r\nX-Bergamotcross-Deadline-Ms: "
+            + "\r\n"
+            + Wire.TIME_LEFT
+            + ": "
             + budgetMs
             + (key.isEmpty() ? "" : "\r\nAuthorization: Bearer " + key)
             + (extraHeader.isEmpty() ? "" : "\r\n" + extraHeader)
@@ -71,7 +75,7 @@
                   ? "end of connection"
                   : answer.startLine()
                       + " seal="
-                      + answer.header("X-Bergamotcross-Server-Seal")
+                      + answer.header(Wire.SEAL)
                       + " bytes="
                       + answer.body().length
                       + " complete="
--- a/review/standins-3/ForeignEntries.java
+++ b/review/standins-3/ForeignEntries.java
@@ -59,7 +59,7 @@
   private void register(Backend backend) {
     String id = "foreign-" + backend.id;
     fleet.store.write(
-        "keyed.servers", id, backend.entry("not-configured", System.currentTimeMillis()));
+        Wire.SERVERS, id, backend.entry("not-configured", System.currentTimeMillis()));
     record.note("foreign entry " + id + " at the address of " + backend.id);
   }
 
