--- a/review/standins-3/Entry.java
+++ b/review/standins-3/Entry.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -22,6 +23,8 @@
 
   private static final int FIRST_PORT = 15_000;
   private static final int LAST_PORT = 30_000;
+  private static final AtomicInteger NEXT_PORT =
+      new AtomicInteger(ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT));
 
   final String name;
   final int callerPort;
@@ -87,10 +90,13 @@
         .replaceAll(m -> Matcher.quoteReplacement(values.getOrDefault(m.group(1), "")));
   }
 
-  /** Returns a free port below those that the system gives to outgoing connections. */
+  /**
+   * Returns a free port below those that the system gives to outgoing connections. The ports of a
+   * run follow each other, so that runs side by side seldom meet.
+   */
   static int freePort() throws IOException {
     for (int attempt = 0; attempt < 100; attempt++) {
-      int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+      int port = NEXT_PORT.getAndIncrement();
       try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
         return socket.getLocalPort();
       } catch (BindException e) {
